--- /dev/null
+++ b/src/samphirelug/__init__.py
@@ -0,0 +1,1 @@
+"""Steer traffic across regions, driven by a catalogue."""
--- /dev/null
+++ b/src/samphirelug/components/__init__.py
@@ -0,0 +1,1 @@
+"""Group the components of samphirelug."""
--- /dev/null
+++ b/src/samphirelug/components/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Queue and admit requests by rank."""
--- /dev/null
+++ b/src/samphirelug/components/backend/__init__.py
@@ -0,0 +1,1 @@
+"""Send requests and probes to backend servers."""
--- /dev/null
+++ b/src/samphirelug/components/backend/model.py
@@ -0,0 +1,64 @@
+"""Define requests to backend servers and how they can fail."""
+
+import enum
+from typing import NamedTuple
+
+from samphirelug import core
+
+
+class BackendRequest(NamedTuple):
+    """Hold one attempt to run a caller's request on a server."""
+
+    request_id: str
+    server: core.BackendServer
+    method: str
+    # Path and query.
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    # On the entry host's own monotonic clock.
+    deadline_at_s: float
+    max_answer_bytes: int
+
+
+class FailureKind(enum.StrEnum):
+    """Tell failed attempts apart by what the server may have done."""
+
+    # No byte of the request can have reached the server.
+    NOT_SENT = "not_sent"
+    # The server itself said that it did not run the request.
+    REFUSED = "refused"
+    # The server said so because it is leaving.
+    LEAVING = "leaving"
+    # The server may have run the request.
+    TIMEOUT = "timeout"
+    RESET = "reset"
+    INCOMPLETE = "incomplete"
+    TOO_LARGE = "too_large"
+
+    @property
+    def certainly_not_run(self) -> bool:
+        """Return whether the request cannot have been run."""
+        return self in (
+            FailureKind.NOT_SENT,
+            FailureKind.REFUSED,
+            FailureKind.LEAVING,
+        )
+
+
+class BackendFailure(NamedTuple):
+    """Describe a failed attempt."""
+
+    kind: FailureKind
+    detail: str
+    retry_after_s: float = 0.0
+
+
+class HealthReport(NamedTuple):
+    """Hold a server's answer to a health probe."""
+
+    server: str
+    leaving: bool
+    # Fraction of the server's capacity in use, by its own word.
+    load: float
+    server_incarnation: str
--- /dev/null
+++ b/src/samphirelug/components/catalogue/__init__.py
@@ -0,0 +1,1 @@
+"""Check, apply and distribute catalogue entries."""
--- /dev/null
+++ b/src/samphirelug/components/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Implement the operator commands."""
--- /dev/null
+++ b/src/samphirelug/components/execution/__init__.py
@@ -0,0 +1,1 @@
+"""Run requests at most once and retry within a budget."""
--- /dev/null
+++ b/src/samphirelug/components/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers and operators over HTTP."""
--- /dev/null
+++ b/src/samphirelug/components/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Count and time what the entry host does."""
--- /dev/null
+++ b/src/samphirelug/components/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Exchange messages with other entry hosts."""
--- /dev/null
+++ b/src/samphirelug/components/peers/model.py
@@ -0,0 +1,163 @@
+"""Define the messages between entry hosts.
+
+Each is sent as a CBOR map with the class name in the field "type".
+"""
+
+from typing import NamedTuple
+
+from samphirelug.components.catalogue import model as catalogue_model
+from samphirelug.components.quota import model as quota_model
+from samphirelug import core
+
+
+class RegionHeadroom(NamedTuple):
+    """Report units free and held for one service in one region."""
+
+    region: str
+    service: str
+    free: int
+    held: int
+
+
+class Sighting(NamedTuple):
+    """Report that a backend server is leaving or live again."""
+
+    server: str
+    # The server's own name for its start; empty where unknown.
+    server_incarnation: str
+    leaving: bool
+    # Host list revision behind the sighting, 0 for an own observation.
+    list_revision: int
+
+
+class Heartbeat(NamedTuple):
+    """Report an entry host's state; sent every HEARTBEAT_INTERVAL_S."""
+
+    host: core.EntryHost
+    state: core.EntryHostState
+    # Milliseconds since this incarnation started, on its own clock.
+    clock_ms: int
+    catalogue_revision: int
+    headroom: tuple[RegionHeadroom, ...]
+    # Requests queued, by Rank value.
+    queued: tuple[int, int, int]
+    # Seconds until a new request of the rank would find room, by Rank value.
+    wait_s: tuple[float, float, float]
+    sightings: tuple[Sighting, ...]
+
+
+class CatalogueRequest(NamedTuple):
+    """Ask for all catalogue objects after a revision."""
+
+    since: int
+
+
+class CatalogueReply(NamedTuple):
+    """Answer a CatalogueRequest."""
+
+    delta: catalogue_model.CatalogueDelta
+
+
+class GrantRequest(NamedTuple):
+    """Ask for bundles of units to dispatch work into a region."""
+
+    work: str
+    region: str
+    count: int
+    # Region of the entry host that asks.
+    host_region: str
+    home_region: str
+    body_bytes: int
+
+
+class UnitRequest(NamedTuple):
+    """Ask for plain units, such as bytes of a link."""
+
+    units: tuple[quota_model.UnitAmount, ...]
+
+
+class Grant(NamedTuple):
+    """Lend bundles; empty where nothing can be spared."""
+
+    loan_id: str
+    bundles: tuple[quota_model.Bundle, ...]
+    duration_s: float
+
+
+class UnitGrant(NamedTuple):
+    """Lend plain units; empty where nothing can be spared."""
+
+    loan_id: str
+    units: tuple[quota_model.UnitAmount, ...]
+    duration_s: float
+
+
+class GrantReturn(NamedTuple):
+    """Give back a bundle, or all plain units with bundle number 0."""
+
+    loan_id: str
+    bundle_number: int
+
+
+class OutcomeRecord(NamedTuple):
+    """Keep the outcome of one run token."""
+
+    token_id: str
+    # A ResultCode; OK comes with the answer.
+    code: int
+    detail: str
+    answer: core.Answer | None
+    # Milliseconds left until the token expires.
+    ttl_ms: int
+
+
+class OutcomeQuery(NamedTuple):
+    """Ask the incarnation named in a run token what became of it."""
+
+    token: str
+
+
+class OutcomeReply(NamedTuple):
+    """Answer an OutcomeQuery; the queried token will never run later."""
+
+    record: OutcomeRecord
+
+
+class OutcomeHandover(NamedTuple):
+    """Pass outcomes of a stopping incarnation to a peer."""
+
+    incarnation: str
+    records: tuple[OutcomeRecord, ...]
+    # Set on the last message: no other token of the incarnation has run.
+    complete: bool
+    ttl_ms: int
+
+
+class Acknowledgement(NamedTuple):
+    """Confirm a message that needs no other answer."""
+
+
+Message = (
+    Heartbeat
+    | Sighting
+    | CatalogueRequest
+    | CatalogueReply
+    | GrantRequest
+    | UnitRequest
+    | Grant
+    | UnitGrant
+    | GrantReturn
+    | OutcomeQuery
+    | OutcomeReply
+    | OutcomeHandover
+    | Acknowledgement
+)
+
+
+class PeerView(NamedTuple):
+    """Hold what is known of a peer from its last heartbeat."""
+
+    heartbeat: Heartbeat
+    # On this host's clock.
+    heard_at_s: float
+    connected: bool
--- /dev/null
+++ b/src/samphirelug/components/quota/__init__.py
@@ -0,0 +1,1 @@
+"""Share limits between entry hosts without exceeding them."""
--- /dev/null
+++ b/src/samphirelug/components/steering/__init__.py
@@ -0,0 +1,1 @@
+"""Choose entry hosts, regions and backend servers."""
--- /dev/null
+++ b/src/samphirelug/components/store/__init__.py
@@ -0,0 +1,1 @@
+"""Talk to the platform's object store."""
--- /dev/null
+++ b/src/samphirelug/helpers/__init__.py
@@ -0,0 +1,1 @@
+"""Group the helpers of samphirelug."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Provide small stand-ins for outside systems, for tests and demos."""
