--- a/src/samphirelug/components/metrics/registry.py
+++ b/src/samphirelug/components/metrics/registry.py
@@ -1,7 +1,7 @@
 """Count refusals, retries, requests and store calls of this process."""
 
-import aioprometheus
-from aioprometheus.collectors import Registry
+from aioprometheus import collectors
+
 from aioprometheus.formats import text
 
 from samphirelug import core
@@ -27,7 +27,7 @@
     """Hold every metric of the entry host in one registry."""
 
     def __init__(self) -> None:
-        self.registry = Registry()
+        self.registry = collectors.Registry()
         self.requests = self._counter(
             "samphirelug_requests_total", "Requests by work, rank and code"
         )
@@ -44,7 +44,7 @@
             "samphirelug_peer_messages_total",
             "Messages from peers by type and outcome",
         )
-        self.latency = aioprometheus.Histogram(
+        self.latency = collectors.Histogram(
             "samphirelug_request_seconds",
             "Time from header block to answer by work and rank",
             buckets=list(LATENCY_BUCKETS_S),
@@ -99,8 +99,8 @@
         """Return all metrics in the Prometheus text format."""
         return text.TextFormatter().marshall(self.registry)
 
-    def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
-        return aioprometheus.Counter(name, doc, registry=self.registry)
+    def _counter(self, name: str, doc: str) -> collectors.Counter:
+        return collectors.Counter(name, doc, registry=self.registry)
 
-    def _gauge(self, name: str, doc: str) -> aioprometheus.Gauge:
-        return aioprometheus.Gauge(name, doc, registry=self.registry)
+    def _gauge(self, name: str, doc: str) -> collectors.Gauge:
+        return collectors.Gauge(name, doc, registry=self.registry)
--- a/src/samphirelug/components/peers/model.py
+++ b/src/samphirelug/components/peers/model.py
@@ -63,7 +63,7 @@
 
     work: str
     region: str
-    count: int
+    bundles_wanted: int
     # Region of the entry host that asks.
     host_region: str
     home_region: str
--- a/src/samphirelug/helpers/rendezvous.py
+++ b/src/samphirelug/helpers/rendezvous.py
@@ -9,6 +9,9 @@
     """Return the names ordered by their weight for the key."""
     return sorted(
         names,
-        key=lambda name: (xxhash.xxh64_intdigest(f"{key}\0{name}"), name),
+        key=lambda name: (
+            xxhash.xxh64_intdigest(f"{key}\0{name}".encode()),
+            name,
+        ),
         reverse=True,
     )
