Add the callers' gateway, the entry host's wiring and stand-ins

Cause: the components need a process round them, and the whole path needs callers and backend servers. Ruled out: a request handler object for each request, since a refusal has to be much cheaper than an answer; one listener for all ranks, since the rank is then known only after the header block has been read.

--- /dev/null
+++ b/src/samphirelug/components/gateway/exchange.py
@@ -0,0 +1,211 @@
+"""Carry out one HTTP exchange with a caller."""
+
+import asyncio
+import logging
+
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+from tornado import httputil
+
+from samphirelug.components.gateway import model
+from samphirelug.components.gateway import parsing
+from samphirelug.components.gateway import rendering
+from samphirelug.components.gateway import service as service_module
+from samphirelug import const
+from samphirelug import core
+from samphirelug import result_codes
+
+LOGGER = logging.getLogger(__name__)
+# Statuses whose answers have no body and no Content-Length.
+BODILESS = frozenset({204, 304})
+
+
+class CallerExchange(httputil.HTTPMessageDelegate):
+    """Decide on the header block, read the body, run and answer."""
+
+    def __init__(
+        self,
+        *,
+        service: service_module.CallerService,
+        rank: core.Rank,
+        connection: httputil.HTTPConnection,
+    ) -> None:
+        self.service = service
+        self.rank = rank
+        self.connection = connection
+        self.started_at_s = service.timer.monotonic()
+        self.request_id = "-"
+        self.work = "-"
+        self.draft: service_module.Draft | None = None
+        self.run_token: str | None = None
+        self.pairs: list[tuple[str, str]] = []
+        self.chunks: list[bytes] = []
+        self.received_bytes = 0
+        self.answered = False
+        self.task: asyncio.Task[None] | None = None
+        service.in_flight += 1
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        """Refuse or prepare the request before its body is read."""
+        assert isinstance(start_line, httputil.RequestStartLine)
+        self.request_id = headers.get(const.HEADER_REQUEST_ID) or "-"
+        parsed = parsing.parse_route(start_line.method, start_line.path)
+        if isinstance(parsed, Failure):
+            self._refuse(parsed.failure())
+            return
+        route = parsed.unwrap()
+        if isinstance(route, model.LookupRoute):
+            self._answer_lookup(route)
+            return
+        if isinstance(route, model.OutcomeRoute):
+            self.run_token = headers.get(const.HEADER_RUN_TOKEN) or ""
+            return
+        self.work = route.work
+        checked = self.service.check(
+            rank=self.rank,
+            method=start_line.method,
+            route=route,
+            fields=headers,
+        )
+        if isinstance(checked, Failure):
+            self._refuse(checked.failure())
+            return
+        self.draft = checked.unwrap()
+        self.request_id = self.draft.headers.request_id
+        self.pairs = list(headers.get_all())
+
+    def data_received(self, chunk: bytes) -> None:
+        """Collect the body up to the work entry's limit."""
+        if self.answered or self.draft is None:
+            return
+        self._buffer(len(chunk))
+        if self.received_bytes > self.draft.max_body_bytes:
+            self._refuse(
+                result_codes.Refusal(
+                    result_codes.ResultCode.BODY_TOO_LARGE,
+                    f"allowed is {self.draft.max_body_bytes} bytes",
+                )
+            )
+            return
+        self.chunks.append(chunk)
+
+    def finish(self) -> None:
+        """Run the request, which has arrived whole."""
+        if self.answered:
+            return
+        set_close_callback = getattr(
+            self.connection, "set_close_callback", None
+        )
+        if set_close_callback is not None:
+            set_close_callback(self.on_connection_close)
+        self.task = asyncio.get_running_loop().create_task(self._run())
+
+    def on_connection_close(self) -> None:
+        """Give up the request of a caller that has gone away."""
+        self._end()
+        self._buffer(-self.received_bytes)
+        if self.task is not None and not self.task.done():
+            self.task.cancel()
+
+    async def _run(self) -> None:
+        try:
+            result = await self._outcome()
+        except asyncio.CancelledError:
+            self._count(result_codes.ResultCode.CALLER_GONE)
+            raise
+        except Exception:
+            LOGGER.exception("request %s failed", self.request_id)
+            result = Failure(
+                result_codes.Refusal(
+                    result_codes.ResultCode.INTERNAL_ERROR,
+                    "the entry host failed; see its log",
+                )
+            )
+        finally:
+            self._buffer(-self.received_bytes)
+        if isinstance(result, Success):
+            self._answer(result.unwrap())
+        else:
+            self._refuse(result.failure())
+
+    async def _outcome(self) -> Result[core.Answer, result_codes.Refusal]:
+        if self.draft is None:
+            return await self.service.executor.outcome(self.run_token or "")
+        body = b"".join(self.chunks)
+        self.chunks.clear()
+        return await self.service.run(
+            draft=self.draft, rank=self.rank, pairs=self.pairs, body=body
+        )
+
+    def _answer_lookup(self, route: model.LookupRoute) -> None:
+        self.work = route.work
+        result = self.service.look_up(route)
+        if isinstance(result, Failure):
+            self._refuse(result.failure())
+            return
+        body = rendering.render_lookup(result.unwrap())
+        headers = httputil.HTTPHeaders(
+            {
+                "Content-Type": "application/json",
+                "Cache-Control": "no-store",
+            }
+        )
+        self._write(200, "OK", headers, body)
+
+    def _answer(self, answer: core.Answer) -> None:
+        self._count(result_codes.ResultCode.OK)
+        headers = httputil.HTTPHeaders()
+        for name, value in answer.headers:
+            headers.add(name, value)
+        headers[const.HEADER_REQUEST_ID] = self.request_id
+        self._write(answer.status, answer.reason, headers, answer.body)
+
+    def _refuse(self, refusal: result_codes.Refusal) -> None:
+        if self.answered:
+            return
+        self._count(refusal.code)
+        self.service.metrics.count_refusal(refusal.code, self.rank)
+        line, headers, body = rendering.render_refusal(
+            refusal, self.request_id
+        )
+        self._write(line.code, line.reason, headers, body)
+
+    def _write(
+        self,
+        status: int,
+        reason: str,
+        headers: httputil.HTTPHeaders,
+        body: bytes,
+    ) -> None:
+        if self.answered:
+            return
+        self._end()
+        if status not in BODILESS:
+            headers["Content-Length"] = str(len(body))
+        line = httputil.ResponseStartLine("HTTP/1.1", status, reason)
+        self.connection.write_headers(line, headers, body)
+        self.connection.finish()
+
+    def _end(self) -> None:
+        if not self.answered:
+            self.answered = True
+            self.service.in_flight -= 1
+
+    def _buffer(self, size: int) -> None:
+        self.received_bytes += size
+        self.service.buffered_bytes += size
+
+    def _count(self, code: result_codes.ResultCode) -> None:
+        if self.draft is None:
+            return
+        self.service.metrics.observe_request(
+            work=self.work,
+            rank=self.rank,
+            code=code,
+            seconds=self.service.timer.monotonic() - self.started_at_s,
+        )
--- /dev/null
+++ b/src/samphirelug/components/gateway/io_operator.py
@@ -0,0 +1,104 @@
+"""Serve operators: status, catalogue status, metrics and probes."""
+
+from collections.abc import Callable
+import logging
+from typing import Any
+
+import orjson
+from tornado import httpserver
+from tornado import netutil
+from tornado import web
+
+from samphirelug.components.metrics import registry
+
+LOGGER = logging.getLogger(__name__)
+
+
+class JsonHandler(web.RequestHandler):
+    """Answer with the JSON object that a function returns."""
+
+    def initialize(self, *, produce: Callable[[], dict[str, Any]]) -> None:
+        """Keep the function that produces the answer."""
+        self.produce = produce
+
+    def get(self) -> None:
+        """Write the object."""
+        self.set_header("Content-Type", "application/json")
+        self.write(orjson.dumps(self.produce()))
+
+
+class MetricsHandler(web.RequestHandler):
+    """Answer with the metrics in the Prometheus text format."""
+
+    def initialize(
+        self, *, metrics: registry.Metrics, update: Callable[[], None]
+    ) -> None:
+        """Keep the registry and the function that sets its gauges."""
+        self.metrics = metrics
+        self.update = update
+
+    def get(self) -> None:
+        """Write the metrics."""
+        self.update()
+        self.set_header("Content-Type", "text/plain; version=0.0.4")
+        self.write(self.metrics.render())
+
+
+class ProbeHandler(web.RequestHandler):
+    """Answer 200 while a condition holds, else 503 with the reason."""
+
+    def initialize(self, *, problem: Callable[[], str | None]) -> None:
+        """Keep the function that names the problem, if there is one."""
+        self.problem = problem
+
+    def get(self) -> None:
+        """Write the state."""
+        problem = self.problem()
+        self.set_status(200 if problem is None else 503)
+        self.write({"ok": problem is None, "problem": problem})
+
+
+class OperatorServer:
+    """Listen for operators on a port of its own."""
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        port: int,
+        status: Callable[[], dict[str, Any]],
+        catalogue_status: Callable[[], dict[str, Any]],
+        not_ready: Callable[[], str | None],
+        metrics: registry.Metrics,
+        update_metrics: Callable[[], None],
+    ) -> None:
+        application = web.Application(
+            [
+                (r"/v1/status", JsonHandler, {"produce": status}),
+                (
+                    r"/v1/catalogue/status",
+                    JsonHandler,
+                    {"produce": catalogue_status},
+                ),
+                (
+                    r"/metrics",
+                    MetricsHandler,
+                    {"metrics": metrics, "update": update_metrics},
+                ),
+                (r"/healthz", ProbeHandler, {"problem": lambda: None}),
+                (r"/readyz", ProbeHandler, {"problem": not_ready}),
+            ],
+            log_function=lambda _: None,
+        )
+        self.server = httpserver.HTTPServer(application)
+        self.sockets = netutil.bind_sockets(port, address)
+        self.port: int = self.sockets[0].getsockname()[1]
+
+    def start(self) -> None:
+        """Accept connections on the running loop."""
+        self.server.add_sockets(self.sockets)
+
+    async def stop(self) -> None:
+        """Close the listener and all connections."""
+        self.server.stop()
+        await self.server.close_all_connections()
--- /dev/null
+++ b/src/samphirelug/components/gateway/io_server.py
@@ -0,0 +1,129 @@
+"""Listen for callers, with a listener for each rank."""
+
+import asyncio
+import logging
+import socket
+
+from tornado import httpserver
+from tornado import httputil
+from tornado import iostream
+from tornado import netutil
+
+from samphirelug.components.gateway import const as gateway_const
+from samphirelug.components.gateway import exchange
+from samphirelug.components.gateway import rendering
+from samphirelug.components.gateway import service as service_module
+from samphirelug import const
+from samphirelug import core
+from samphirelug import result_codes
+
+LOGGER = logging.getLogger(__name__)
+
+
+class RankDelegate(httputil.HTTPServerConnectionDelegate):
+    """Start an exchange for each request on a rank's listener."""
+
+    def __init__(
+        self, *, service: service_module.CallerService, rank: core.Rank
+    ) -> None:
+        self.service = service
+        self.rank = rank
+        self.connections: set[object] = set()
+
+    def start_request(
+        self, server_conn: object, request_conn: httputil.HTTPConnection
+    ) -> httputil.HTTPMessageDelegate:
+        """Return the exchange that handles the next request."""
+        self.connections.add(server_conn)
+        return exchange.CallerExchange(
+            service=self.service, rank=self.rank, connection=request_conn
+        )
+
+    def on_close(self, server_conn: object) -> None:
+        """Forget a closed connection."""
+        self.connections.discard(server_conn)
+
+
+class RankListener:
+    """Accept callers' connections for one rank at the rank's pace."""
+
+    def __init__(self, *, rank: core.Rank, address: str, port: int) -> None:
+        self.rank = rank
+        self.sockets = netutil.bind_sockets(
+            port, address, backlog=gateway_const.LISTEN_BACKLOG
+        )
+        self.port: int = self.sockets[0].getsockname()[1]
+
+    def start(self, service: service_module.CallerService) -> None:
+        """Accept connections on the running loop."""
+        self.service = service
+        self.delegate = RankDelegate(service=service, rank=self.rank)
+        self.server = httpserver.HTTPServer(
+            self.delegate,
+            idle_connection_timeout=gateway_const.IDLE_TIMEOUT_S,
+            body_timeout=gateway_const.BODY_TIMEOUT_S,
+            max_header_size=const.MAX_HEADER_BYTES,
+            max_body_size=const.MAX_BODY_BYTES,
+        )
+        loop = asyncio.get_running_loop()
+        for listening in self.sockets:
+            loop.add_reader(listening, self._accept, listening)
+
+    def stop_accepting(self) -> None:
+        """Close the listening sockets; open connections go on."""
+        loop = asyncio.get_running_loop()
+        for listening in self.sockets:
+            loop.remove_reader(listening)
+            listening.close()
+        self.sockets = []
+
+    async def close(self) -> None:
+        """Close the connections that are still open."""
+        await self.server.close_all_connections()
+
+    def _accept(self, listening: socket.socket) -> None:
+        for _ in range(gateway_const.ACCEPT_BATCH[self.rank]):
+            try:
+                connection, address = listening.accept()
+            except OSError:
+                # Nothing is left to accept, or the caller went away.
+                return
+            connection.setblocking(False)
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if self._is_full():
+                self._refuse(connection)
+                continue
+            stream = iostream.IOStream(
+                connection, max_buffer_size=2 * const.MAX_BODY_BYTES
+            )
+            self.server.handle_stream(stream, address)
+
+    def _is_full(self) -> bool:
+        limit = gateway_const.MAX_CONNECTIONS[self.rank]
+        return len(self.delegate.connections) >= limit
+
+    def _refuse(self, connection: socket.socket) -> None:
+        code = result_codes.ResultCode.TOO_MANY_CONNECTIONS
+        self.service.metrics.count_refusal(code, self.rank)
+        line, headers, body = rendering.render_refusal(
+            result_codes.Refusal(
+                code,
+                f"too many connections for {self.rank.label} work",
+                gateway_const.DEFAULT_RETRY_AFTER_S,
+            ),
+            "-",
+        )
+        headers["Connection"] = "close"
+        fields = "".join(f"{n}: {v}\r\n" for n, v in headers.get_all())
+        head = f"HTTP/1.1 {line.code} {line.reason}\r\n{fields}\r\n"
+        try:
+            connection.send(head.encode() + body)
+            # Closing at once with unread input would reset the connection
+            # and could destroy the refusal before the caller reads it.
+            connection.shutdown(socket.SHUT_WR)
+        except OSError:
+            LOGGER.debug("caller left before it was refused")
+        self.service.timer.call_at(
+            when_s=self.service.timer.monotonic() + 1.0,
+            callback=connection.close,
+        )
--- /dev/null
+++ b/src/samphirelug/components/gateway/service.py
@@ -0,0 +1,204 @@
+"""Decide on callers' requests, without sockets."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from samphirelug.components.admission import controller
+from samphirelug.components.catalogue import state as catalogue_state
+from samphirelug.components.execution import executor
+from samphirelug.components.execution import tokens
+from samphirelug.components.gateway import const as gateway_const
+from samphirelug.components.gateway import model
+from samphirelug.components.gateway import parsing
+from samphirelug.components.metrics import registry
+from samphirelug.components.steering import lookup
+from samphirelug import const
+from samphirelug import core
+from samphirelug.helpers import loop_lag
+from samphirelug.helpers import timer
+from samphirelug import result_codes
+
+
+class Draft(NamedTuple):
+    """Hold a request that passed the checks of its header block."""
+
+    route: model.RunRoute
+    headers: model.RunHeaders
+    method: str
+    max_body_bytes: int
+    deadline_at_s: float
+    home_region: str
+
+
+class CallerService:
+    """Check header blocks, look up entry hosts and run requests."""
+
+    def __init__(
+        self,
+        *,
+        host: core.EntryHost,
+        catalogue: catalogue_state.CatalogueState,
+        admission: controller.AdmissionController,
+        executor: executor.Executor,
+        lookup: lookup.LookupPlanner,
+        issuer: tokens.TokenIssuer,
+        metrics: registry.Metrics,
+        lag: loop_lag.LoopLagMonitor,
+        timer_service: timer.TimerService,
+        refusing: Callable[[], result_codes.Refusal | None],
+    ) -> None:
+        self.host = host
+        self.catalogue = catalogue
+        self.admission = admission
+        self.executor = executor
+        self.lookup = lookup
+        self.issuer = issuer
+        self.metrics = metrics
+        self.lag = lag
+        self.timer = timer_service
+        # Returns why the whole entry host refuses new work now, if it does.
+        self.refusing = refusing
+        self.buffered_bytes = 0
+        # Exchanges from header block to written answer.
+        self.in_flight = 0
+
+    def check(
+        self,
+        *,
+        rank: core.Rank,
+        method: str,
+        route: model.RunRoute,
+        fields: Mapping[str, str],
+    ) -> Result[Draft, result_codes.Refusal]:
+        """Admit or refuse a request to run by its header block alone."""
+        overload = self._overload(rank)
+        if overload is not None:
+            return Failure(overload)
+        refusal = self.refusing()
+        if refusal is not None:
+            return Failure(refusal)
+        parsed = parsing.parse_headers(fields)
+        if isinstance(parsed, Failure):
+            return parsed
+        headers = parsed.unwrap()
+        work = self.catalogue.view.works.get(route.work)
+        if work is None:
+            return parsing.refuse(
+                result_codes.ResultCode.UNKNOWN_WORK,
+                f"no work entry {route.work[:63]!r}",
+            )
+        if work["work_class"].rank is not rank:
+            return parsing.refuse(
+                result_codes.ResultCode.WRONG_ENTRY_HOST,
+                f"{route.work} has rank {work['work_class'].rank.label}; "
+                f"this listener serves {rank.label}",
+            )
+        if not work["repeatable"] and headers.run_token is None:
+            return parsing.refuse(
+                result_codes.ResultCode.TOKEN_MISSING,
+                f"{route.work} may run only once: look it up and send the "
+                f"token in {const.HEADER_RUN_TOKEN}",
+            )
+        if (headers.content_length or 0) > work["max_body_bytes"]:
+            return parsing.refuse(
+                result_codes.ResultCode.BODY_TOO_LARGE,
+                f"body is {headers.content_length} bytes; allowed is "
+                f"{work['max_body_bytes']}",
+            )
+        if self.buffered_bytes > gateway_const.MAX_BUFFERED_BYTES:
+            return Failure(
+                result_codes.Refusal(
+                    result_codes.ResultCode.OVERLOADED,
+                    "request bodies fill the memory set aside for them",
+                    gateway_const.DEFAULT_RETRY_AFTER_S,
+                )
+            )
+        deadline_s = min(
+            headers.deadline_s or work["deadline_s"], work["deadline_s"]
+        )
+        wait_s = self.admission.wait_s(rank)
+        if wait_s >= deadline_s:
+            return Failure(
+                result_codes.Refusal(
+                    result_codes.ResultCode.DEADLINE_UNREACHABLE,
+                    f"the wait for {rank.label} work is {wait_s:.1f} s, the "
+                    f"deadline {deadline_s:.1f} s",
+                    wait_s,
+                )
+            )
+        return Success(
+            Draft(
+                route=route,
+                headers=headers,
+                method=method,
+                max_body_bytes=work["max_body_bytes"],
+                deadline_at_s=self.timer.monotonic() + deadline_s,
+                home_region=self._home_region(headers),
+            )
+        )
+
+    async def run(
+        self,
+        *,
+        draft: Draft,
+        rank: core.Rank,
+        pairs: list[tuple[str, str]],
+        body: bytes,
+    ) -> Result[core.Answer, result_codes.Refusal]:
+        """Run a checked request whose body has arrived."""
+        return await self.executor.run(
+            core.CallerRequest(
+                request_id=draft.headers.request_id,
+                work=draft.route.work,
+                rank=rank,
+                method=draft.method,
+                path=draft.route.path,
+                query=draft.route.query,
+                headers=(
+                    *parsing.forwarded_headers(pairs),
+                    (const.HEADER_HOME_REGION, draft.home_region),
+                ),
+                body=body,
+                deadline_at_s=draft.deadline_at_s,
+                home_region=draft.home_region,
+                run_token=draft.headers.run_token,
+            )
+        )
+
+    def look_up(
+        self, route: model.LookupRoute
+    ) -> Result[lookup.LookupAnswer, result_codes.Refusal]:
+        """Name the entry hosts for a work entry near a place."""
+        if not self.catalogue.position:
+            return Failure(
+                result_codes.Refusal(
+                    result_codes.ResultCode.NO_CATALOGUE,
+                    "this entry host has no catalogue yet",
+                    gateway_const.DEFAULT_RETRY_AFTER_S,
+                )
+            )
+        place = route.place or self.host.zone.name
+        return self.lookup.answer(work=route.work, place=place)
+
+    def _overload(self, rank: core.Rank) -> result_codes.Refusal | None:
+        limit_s = gateway_const.LOOP_LAG_LIMIT_S[rank]
+        if self.lag.lag_s <= limit_s:
+            return None
+        return result_codes.Refusal(
+            result_codes.ResultCode.LOOP_OVERLOADED,
+            f"the event loop lags by more than {limit_s} s",
+            gateway_const.DEFAULT_RETRY_AFTER_S,
+        )
+
+    def _home_region(self, headers: model.RunHeaders) -> str:
+        if headers.run_token is not None:
+            token = self.issuer.read(headers.run_token)
+            if isinstance(token, Success):
+                return token.unwrap().home_region
+        named = self.catalogue.view.region_of(headers.home_region or "")
+        return named or self.host.zone.region
--- /dev/null
+++ b/src/samphirelug/settings.py
@@ -0,0 +1,134 @@
+"""Define the entry host's settings and check them at start."""
+
+import re
+from typing import NamedTuple
+import urllib.parse
+
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from samphirelug import result_codes
+
+NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9.-]{0,62}")
+SECRET_MIN_CHARACTERS = 16
+LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+
+
+class EntryHostSettings(NamedTuple):
+    """Hold what an entry host needs to know at start."""
+
+    name: str
+    availability_zone: str
+    region: str
+    # IP address to listen on, and the one that callers and peers use.
+    listen_address: str
+    advertise_address: str
+    # Ports for callers, by Rank value; 0 lets the system choose.
+    caller_ports: tuple[int, int, int]
+    peer_port: int
+    operator_port: int
+    store_url: str
+    cluster: str
+    cluster_secret: str
+    # Websocket URLs of peers to try first.
+    peers: tuple[str, ...]
+    seat_lease_s: float
+    lookup_keep_s: float
+    probe_interval_s: float
+    log_level: str
+
+
+def _invalid(flag: str, value: object, allowed: str) -> result_codes.Refusal:
+    return result_codes.Refusal(
+        result_codes.ResultCode.SETTING_INVALID,
+        f"--{flag} is {value!r}; allowed is {allowed}",
+    )
+
+
+def check(
+    settings: EntryHostSettings,
+) -> Result[EntryHostSettings, result_codes.Refusal]:
+    """Return the settings, or SETTING_INVALID for the first bad one."""
+    for problem in (
+        _check_names(settings),
+        _check_ports(settings),
+        _check_urls(settings),
+        _check_intervals(settings),
+    ):
+        if problem is not None:
+            return Failure(problem)
+    return Success(settings)
+
+
+def _check_names(
+    settings: EntryHostSettings,
+) -> result_codes.Refusal | None:
+    for flag, value in (
+        ("name", settings.name),
+        ("availability-zone", settings.availability_zone),
+        ("region", settings.region),
+        ("cluster", settings.cluster),
+    ):
+        if not NAME_PATTERN.fullmatch(value):
+            return _invalid(
+                flag, value, "1 to 63 lower-case letters, digits, '.' or '-'"
+            )
+    if len(settings.cluster_secret) < SECRET_MIN_CHARACTERS:
+        return _invalid(
+            "cluster-secret",
+            "***",
+            f"at least {SECRET_MIN_CHARACTERS} characters",
+        )
+    if settings.log_level not in LOG_LEVELS:
+        return _invalid(
+            "log-level", settings.log_level, f"one of {', '.join(LOG_LEVELS)}"
+        )
+    return None
+
+
+def _check_ports(
+    settings: EntryHostSettings,
+) -> result_codes.Refusal | None:
+    for flag, port in (
+        ("urgent-port", settings.caller_ports[0]),
+        ("interactive-port", settings.caller_ports[1]),
+        ("export-port", settings.caller_ports[2]),
+        ("peer-port", settings.peer_port),
+        ("operator-port", settings.operator_port),
+    ):
+        if not 0 <= port <= 65535:
+            return _invalid(flag, port, "0 to 65535")
+    return None
+
+
+def _check_urls(settings: EntryHostSettings) -> result_codes.Refusal | None:
+    if not _is_url(settings.store_url, "http"):
+        return _invalid(
+            "store-url", settings.store_url, "http://<address>:<port>"
+        )
+    for peer in settings.peers:
+        if not _is_url(peer, "ws"):
+            return _invalid("peer", peer, "ws://<address>:<port>")
+    return None
+
+
+def _check_intervals(
+    settings: EntryHostSettings,
+) -> result_codes.Refusal | None:
+    for flag, value, low, high in (
+        ("seat-lease-s", settings.seat_lease_s, 1.0, 86_400.0),
+        ("lookup-keep-s", settings.lookup_keep_s, 0.0, 600.0),
+        ("probe-interval-s", settings.probe_interval_s, 0.1, 600.0),
+    ):
+        if not low <= value <= high:
+            return _invalid(flag, value, f"{low:g} to {high:g}")
+    return None
+
+
+def _is_url(value: str, scheme: str) -> bool:
+    try:
+        parts = urllib.parse.urlsplit(value)
+        return parts.scheme == scheme and parts.port is not None
+    except ValueError:
+        return False
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,195 @@
+"""Run the whole path once and print what each caller got."""
+
+import asyncio
+import json
+import pathlib
+import signal
+import sys
+from typing import Any
+
+import typer
+import yaml
+
+from samphirelug.helpers import timer
+from standins import caller
+from standins import fleet
+
+PLACES = [
+    fleet.HostPlace("eh-tallinn", "tallinn-a", "tallinn"),
+    fleet.HostPlace("eh-tallinn-2", "tallinn-b", "tallinn"),
+    fleet.HostPlace("eh-tartu", "tartu-a", "tartu"),
+]
+REGIONS = {
+    "tallinn": ["tallinn-a", "tallinn-b"],
+    "tartu": ["tartu-a", "tartu-b"],
+}
+
+
+def demo_catalogue(server_ports: dict[str, int]) -> list[dict[str, Any]]:
+    """Return two linked regions, one service and work of each rank."""
+    regions = [
+        {
+            "kind": "region",
+            "name": name,
+            "owner": "platform",
+            "availability_zones": zones,
+            "zone_latency_ms": 3,
+            "max_in_flight": 12,
+            "shift_cap": {"requests": 20, "interval_s": 5},
+            "guaranteed": {
+                "urgent": 0.1,
+                "interactive": 0.1,
+                "export": 0.05,
+            },
+        }
+        for name, zones in REGIONS.items()
+    ]
+    link = {
+        "kind": "link",
+        "name": "tallinn-tartu",
+        "owner": "platform",
+        "regions": ["tallinn", "tartu"],
+        "latency_ms": 20,
+        "bytes_per_s": 500_000_000,
+    }
+    service = {
+        "kind": "backend-service",
+        "name": "filing",
+        "owner": "registry",
+        "health_path": "/health",
+        "ramp_s": 0,
+        "servers": [
+            {
+                "name": name,
+                "availability_zone": name.rsplit("-", 1)[0],
+                "address": f"127.0.0.1:{port}",
+                "slots": 3,
+                "connections": 360,
+            }
+            for name, port in server_ports.items()
+        ],
+    }
+    works = [
+        {
+            "kind": "work",
+            "name": name,
+            "owner": "registry",
+            "work_class": work_class,
+            "repeatable": repeatable,
+            "backend_service": "filing",
+            "max_in_flight_per_region": 12,
+            "max_body_bytes": 65536,
+            "max_answer_bytes": 65536,
+            "deadline_s": 10,
+        }
+        for name, work_class, repeatable in (
+            ("file-claim", "filing", False),
+            ("case-status", "status", True),
+            ("case-export", "export", True),
+        )
+    ]
+    return [*regions, link, service, *works]
+
+
+async def run_demo(program: list[str] | None) -> int:
+    """Start everything, send requests, stop; return the exit code."""
+    async with fleet.Fleet(places=PLACES, program=program) as running:
+        names = [
+            f"{z}-{i}" for zs in REGIONS.values() for z in zs for i in "12"
+        ]
+        await running.start_servers("servers", names)
+        await asyncio.gather(
+            *(running.start_host(p.name, wait=False) for p in PLACES)
+        )
+        await apply_catalogue(running)
+        for place in PLACES:
+            await running.wait_host_ready(place.name)
+        await send_requests(running)
+        for place in PLACES:
+            running.signal(place.name, signal.SIGINT)
+        codes = [await running.wait_exit(place.name) for place in PLACES]
+        print(f"entry hosts ended with {codes}")
+        return 0 if codes == [0, 0, 0] else 1
+
+
+async def apply_catalogue(running: fleet.Fleet) -> None:
+    """Apply the demo's catalogue with the operator's command."""
+    path = pathlib.Path(running.directory.name, "demo.yaml")
+    entries = demo_catalogue(running.server_ports)
+    path.write_text(yaml.safe_dump_all(entries))
+    words = [
+        word
+        for name in running.places
+        for word in ("--entry-host-url", running.operator_url(name))
+    ]
+    code, out, err = await running.command(
+        "catalogue",
+        "apply",
+        str(path),
+        "--store-url",
+        running.store_url,
+        "--wait",
+        *words,
+    )
+    print(out or err)
+    if code != 0:
+        raise RuntimeError(f"catalogue apply ended with {code}: {out} {err}")
+
+
+async def send_requests(running: fleet.Fleet) -> None:
+    """Send requests of each rank from both regions, and bad ones."""
+    timer_service = timer.LoopTimerService()
+    urls = [running.caller_url(name) for name in running.places]
+    for place in REGIONS:
+        client = caller.Caller(
+            lookup_urls=urls, place=place, timer_service=timer_service
+        )
+        for work in ("file-claim", "case-status", "case-export"):
+            found = await client.look_up(work)
+            for _ in range(2):
+                result = await client.call(
+                    work, path="/x?y=1", body="claim", lookup=found.body
+                )
+                show(f"{place}: {work}", result)
+        show(f"{place}: no-such-work", await client.call("no-such-work"))
+        client.close()
+    client = caller.Caller(
+        lookup_urls=urls, place="tallinn", timer_service=timer_service
+    )
+    found = await client.look_up("file-claim")
+    found.body.pop("run_token")
+    result = await client.call("file-claim", lookup=found.body)
+    show("tallinn: file-claim without a token", result)
+    client.close()
+
+
+def show(title: str, result: caller.CallResult) -> None:
+    """Print what a caller got in one line."""
+    if result.code:
+        what = f"{result.code} {result.name} ({result.effect})"
+    else:
+        what = f"answer of {result.body.get('server')}"
+    detail = result.body.get("detail", "")
+    milliseconds = result.seconds * 1000
+    print(
+        f"{title:40} {result.status} {what} by {result.entry_host or '-'}"
+        f" in {milliseconds:.0f} ms {detail}"
+    )
+    if not result.status:
+        print(json.dumps(result.body), file=sys.stderr)
+
+
+def main(
+    binary: str = typer.Option("", help="samphirelug binary to start"),
+) -> None:
+    """Run the whole path once."""
+    program = [sys.executable, binary] if binary else None
+    try:
+        code = asyncio.run(run_demo(program))
+    except KeyboardInterrupt:
+        code = 130
+    raise typer.Exit(code)
+
+
+if __name__ == "__main__":
+    typer.run(main)
