Add a first version of execution and the backend client

Cause: the whole path from caller to backend server needs run tokens, the outcome book, the attempt loop and a client to be wired together. Ruled out: AsyncHTTPClient of tornado, since it cannot be cancelled, does not tell failures before and after sending apart and accepts answers without a length. The client uses the HTTP/1 connection and stream below it and counts the bytes that the kernel took.

--- /dev/null
+++ b/src/samphirelug/components/backend/io_client.py
@@ -0,0 +1,404 @@
+"""Send requests to backend servers over HTTP/1.1."""
+
+import asyncio
+import socket
+
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+from tornado import http1connection
+from tornado import httputil
+from tornado import iostream
+
+import orjson
+import pydantic
+from typing_extensions import TypedDict
+
+from samphirelug.components.backend import client
+from samphirelug.components.backend import const as backend_const
+from samphirelug.components.backend import model
+from samphirelug import const
+from samphirelug import core
+from samphirelug.helpers import timer as timer_module
+
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+# Set by the client for the connection to the server. Expect is dropped
+# because the body is sent at once.
+REQUEST_OWN = frozenset(
+    (
+        "host",
+        "content-length",
+        "expect",
+        const.HEADER_DEADLINE_MS.lower(),
+        const.HEADER_REQUEST_ID.lower(),
+    )
+)
+# Signals between the server and the entry host only.
+ANSWER_OWN = frozenset((const.HEADER_WORK.lower(), const.HEADER_DRAIN.lower()))
+BODY_METHODS = ("POST", "PUT", "PATCH")
+NO_BODY_STATUS = (204, 304)
+# The client counts the body itself, to tell a body that is too large from
+# one that is malformed.
+UNBOUNDED_BODY = 1 << 62
+
+AnswerResult = Result[core.Answer, model.BackendFailure]
+
+
+class HealthBody(TypedDict):
+    """Hold the body of a server's health answer."""
+
+    state: str
+    load: float
+    incarnation: str
+
+
+_HEALTH_ADAPTER = pydantic.TypeAdapter(HealthBody)
+
+
+class CountingStream(iostream.IOStream):
+    """Count the bytes that the kernel took over for sending."""
+
+    sent_bytes = 0
+
+    def write_to_fd(self, data: memoryview) -> int:
+        """Pass bytes to the kernel and return how many it took."""
+        taken = super().write_to_fd(data)
+        self.sent_bytes += taken
+        return taken
+
+
+class AnswerReader(httputil.HTTPMessageDelegate):
+    """Collect one answer and settle how the attempt ended."""
+
+    def __init__(
+        self, *, request: model.BackendRequest, stream: CountingStream
+    ) -> None:
+        self.request = request
+        self.stream = stream
+        self.done: asyncio.Future[AnswerResult] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.start_line: httputil.ResponseStartLine | None = None
+        self.headers: httputil.HTTPHeaders | None = None
+        self.chunks: list[bytes] = []
+        self.received_bytes = 0
+
+    def fail(
+        self,
+        kind: model.FailureKind,
+        detail: str,
+        retry_after_s: float = 0.0,
+    ) -> None:
+        """Settle the attempt as failed, unless it is settled."""
+        if not self.done.done():
+            failure = model.BackendFailure(kind, detail, retry_after_s)
+            self.done.set_result(Failure(failure))
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        """Settle refusals; check that the end of the body can be told."""
+        assert isinstance(start_line, httputil.ResponseStartLine)
+        if start_line.code < 200:
+            return
+        self.start_line = start_line
+        self.headers = headers
+        if start_line.code == 503 and _says_not_run(headers):
+            self._refuse(headers)
+            return
+        if self.request.method == "HEAD" or start_line.code in NO_BODY_STATUS:
+            return
+        length = headers.get("Content-Length")
+        if length is None and "Transfer-Encoding" not in headers:
+            self._reject("the answer has no length and is not chunked")
+        if length is not None and _exceeds(
+            length, self.request.max_answer_bytes
+        ):
+            self._reject_size()
+
+    def data_received(self, chunk: bytes) -> None:
+        """Keep a part of the body, within the request's limit."""
+        self.received_bytes += len(chunk)
+        if self.received_bytes > self.request.max_answer_bytes:
+            self._reject_size()
+        self.chunks.append(chunk)
+
+    def finish(self) -> None:
+        """Settle the attempt with the whole answer."""
+        if self.done.done():
+            return
+        assert self.start_line is not None
+        assert self.headers is not None
+        keep_length = (
+            self.request.method == "HEAD" or self.start_line.code == 304
+        )
+        answer = core.Answer(
+            status=self.start_line.code,
+            reason=self.start_line.reason,
+            headers=answer_headers(self.headers, keep_length=keep_length),
+            body=b"".join(self.chunks),
+            server=self.request.server.name,
+        )
+        self.done.set_result(Success(answer))
+
+    def on_connection_close(self) -> None:
+        """Settle the attempt as failed when the connection ended early."""
+        self.closed("the answer is malformed")
+
+    def closed(self, detail: str) -> None:
+        """Settle by what was sent and received before the end."""
+        if self.stream.sent_bytes == 0:
+            self.fail(model.FailureKind.NOT_SENT, detail)
+        elif self.start_line is not None:
+            self.fail(model.FailureKind.INCOMPLETE, detail)
+        else:
+            self.fail(model.FailureKind.RESET, detail)
+
+    def read_ended(self, reader: "asyncio.Future[bool]") -> None:
+        """Settle the attempt when reading has ended without an answer."""
+        if reader.cancelled():
+            return
+        error = reader.exception()
+        self.closed(str(error) if error else "the answer is malformed")
+
+    def _refuse(self, headers: httputil.HTTPHeaders) -> None:
+        leaving = const.HEADER_DRAIN in headers
+        kind = (
+            model.FailureKind.LEAVING if leaving else model.FailureKind.REFUSED
+        )
+        retry_after_s = _parse_seconds(headers.get("Retry-After", ""))
+        self.fail(kind, "the server did not run the request", retry_after_s)
+
+    def _reject(self, detail: str) -> None:
+        self.fail(model.FailureKind.INCOMPLETE, detail)
+        raise httputil.HTTPInputError(detail)
+
+    def _reject_size(self) -> None:
+        detail = f"the answer exceeds {self.request.max_answer_bytes} bytes"
+        self.fail(model.FailureKind.TOO_LARGE, detail)
+        raise httputil.HTTPInputError(detail)
+
+
+class HttpBackendClient(client.BackendClient):
+    """Open a connection for each request and close it afterwards."""
+
+    def __init__(
+        self,
+        *,
+        timer: timer_module.TimerService,
+        connect_timeout_s: float = backend_const.CONNECT_TIMEOUT_S,
+    ) -> None:
+        self.timer = timer
+        self.connect_timeout_s = connect_timeout_s
+
+    async def send(self, request: model.BackendRequest) -> AnswerResult:
+        """Return the whole answer or why there is none.
+
+        Cancelling the call closes the connection, which cancels the work.
+        """
+        try:
+            stream = _open_stream(request.server.address)
+        except (OSError, ValueError) as error:
+            return _not_sent(f"no connection: {error}")
+        try:
+            failure = await self._connect(stream, request)
+            if failure is not None:
+                return Failure(failure)
+            return await self._exchange(stream, request)
+        finally:
+            stream.close()
+
+    async def probe(
+        self, server: core.BackendServer, health_path: str, *, timeout_s: float
+    ) -> Result[model.HealthReport, model.BackendFailure]:
+        """Ask a server for its health and load."""
+        request = model.BackendRequest(
+            request_id="health-probe",
+            server=server,
+            method="GET",
+            target=health_path,
+            headers=(),
+            body=b"",
+            deadline_at_s=self.timer.monotonic() + timeout_s,
+            max_answer_bytes=backend_const.MAX_PROBE_ANSWER_BYTES,
+        )
+        result = await self.send(request)
+        return result.bind(_read_health)
+
+    async def _connect(
+        self, stream: CountingStream, request: model.BackendRequest
+    ) -> model.BackendFailure | None:
+        now = self.timer.monotonic()
+        limit_s = min(request.deadline_at_s, now + self.connect_timeout_s)
+        timeout = self.timer.call_at(when_s=limit_s, callback=stream.close)
+        try:
+            await stream.connect(_split_address(request.server.address))
+        except (OSError, iostream.StreamClosedError) as error:
+            cause = getattr(error, "real_error", None) or error
+            return model.BackendFailure(
+                model.FailureKind.NOT_SENT, f"no connection: {cause}"
+            )
+        finally:
+            timeout.cancel()
+        return None
+
+    async def _exchange(
+        self, stream: CountingStream, request: model.BackendRequest
+    ) -> AnswerResult:
+        # The process may have been paused while connecting. There is no
+        # await between this check and the write.
+        left_s = request.deadline_at_s - self.timer.monotonic()
+        if left_s <= 0.0:
+            return _not_sent("the deadline passed before sending")
+        stream.set_nodelay(True)
+        answer = AnswerReader(request=request, stream=stream)
+        connection = http1connection.HTTP1Connection(
+            stream,
+            True,
+            http1connection.HTTP1ConnectionParameters(
+                no_keep_alive=True,
+                max_header_size=const.MAX_HEADER_BYTES,
+                max_body_size=UNBOUNDED_BODY,
+            ),
+        )
+        try:
+            start_line = httputil.RequestStartLine(
+                request.method, request.target, "HTTP/1.1"
+            )
+            headers = _request_headers(request, left_s)
+            written = connection.write_headers(
+                start_line, headers, request.body
+            )
+        except (ValueError, httputil.HTTPInputError) as error:
+            return _not_sent(f"the request cannot be encoded: {error}")
+        written.add_done_callback(_ignore_error)
+        connection.finish()
+        deadline = self.timer.call_at(
+            when_s=request.deadline_at_s,
+            callback=lambda: answer.fail(
+                model.FailureKind.TIMEOUT, "no whole answer in time"
+            ),
+        )
+        reader = asyncio.ensure_future(connection.read_response(answer))
+        reader.add_done_callback(answer.read_ended)
+        try:
+            return await answer.done
+        finally:
+            deadline.cancel()
+
+
+def forwarded(
+    headers: tuple[tuple[str, str], ...], *, dropped: frozenset[str]
+) -> tuple[tuple[str, str], ...]:
+    """Return the headers that may pass to the next connection."""
+    named = {
+        token.strip().lower()
+        for name, value in headers
+        if name.lower() == "connection"
+        for token in value.split(",")
+    }
+    barred = named | HOP_BY_HOP | dropped
+    return tuple(
+        (name, value) for name, value in headers if name.lower() not in barred
+    )
+
+
+def answer_headers(
+    headers: httputil.HTTPHeaders, *, keep_length: bool
+) -> tuple[tuple[str, str], ...]:
+    """Return the headers of an answer that the caller may see."""
+    dropped = ANSWER_OWN
+    if not keep_length:
+        dropped = dropped | {"content-length"}
+    return forwarded(tuple(headers.get_all()), dropped=dropped)
+
+
+def _request_headers(
+    request: model.BackendRequest, left_s: float
+) -> httputil.HTTPHeaders:
+    headers = httputil.HTTPHeaders()
+    headers["Host"] = request.server.address
+    headers["Connection"] = "close"
+    headers[const.HEADER_DEADLINE_MS] = str(max(1, int(left_s * 1000)))
+    headers[const.HEADER_REQUEST_ID] = request.request_id
+    for name, value in forwarded(request.headers, dropped=REQUEST_OWN):
+        headers.add(name, value)
+    if request.body or request.method in BODY_METHODS:
+        headers["Content-Length"] = str(len(request.body))
+    return headers
+
+
+def _open_stream(address: str) -> CountingStream:
+    host, _ = _split_address(address)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    return CountingStream(socket.socket(family, socket.SOCK_STREAM))
+
+
+def _split_address(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def _not_sent(detail: str) -> AnswerResult:
+    return Failure(model.BackendFailure(model.FailureKind.NOT_SENT, detail))
+
+
+def _says_not_run(headers: httputil.HTTPHeaders) -> bool:
+    value: str = headers.get(const.HEADER_WORK, "")
+    return value.strip().lower() == const.WORK_NOT_RUN
+
+
+def _exceeds(length: str, limit: int) -> bool:
+    # A malformed length is rejected by the connection.
+    return length.isdigit() and int(length) > limit
+
+
+def _parse_seconds(value: str) -> float:
+    return float(value) if value.isdigit() and len(value) < 6 else 0.0
+
+
+def _ignore_error(written: "asyncio.Future[None]") -> None:
+    # The reader reports the end of the connection.
+    if not written.cancelled():
+        written.exception()
+
+
+def _read_health(
+    answer: core.Answer,
+) -> Result[model.HealthReport, model.BackendFailure]:
+    if answer.status != 200:
+        return Failure(
+            model.BackendFailure(
+                model.FailureKind.INCOMPLETE,
+                f"the health answer has status {answer.status}",
+            )
+        )
+    try:
+        body = _HEALTH_ADAPTER.validate_python(orjson.loads(answer.body))
+    except ValueError as error:
+        detail = f"the health answer is malformed: {error}"
+        return Failure(
+            model.BackendFailure(model.FailureKind.INCOMPLETE, detail)
+        )
+    return Success(
+        model.HealthReport(
+            server=answer.server,
+            leaving=body["state"] == "leaving",
+            load=min(1.0, max(0.0, body["load"])),
+            server_incarnation=body["incarnation"],
+        )
+    )
--- /dev/null
+++ b/src/samphirelug/components/backend/ports.py
@@ -0,0 +1,37 @@
+"""Define what the traffic to backend servers needs of other parts."""
+
+from typing import Protocol
+
+from samphirelug.components.backend import model
+from samphirelug.components.catalogue import view as catalogue_view
+
+
+class Catalogue(Protocol):
+    """Give the catalogue that is in force."""
+
+    @property
+    def view(self) -> catalogue_view.CatalogueView:
+        """Return the entries in force."""
+
+    @property
+    def position(self) -> int:
+        """Return the store revision reached; 0 before the first."""
+
+
+class Health(Protocol):
+    """Take observations of backend servers, by server name."""
+
+    def started(self, server: str) -> None:
+        """Note that an attempt has started."""
+
+    def ended(
+        self,
+        server: str,
+        *,
+        latency_s: float,
+        failure: model.FailureKind | None,
+    ) -> None:
+        """Note how an attempt has ended."""
+
+    def apply_report(self, report: model.HealthReport) -> None:
+        """Take a server's own report."""
--- /dev/null
+++ b/src/samphirelug/components/execution/tokens.py
@@ -0,0 +1,75 @@
+"""Issue and read run tokens."""
+
+import secrets
+from typing import NamedTuple
+
+import pydantic
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from samphirelug import const
+from samphirelug import core
+from samphirelug.helpers import signing
+from samphirelug.helpers import timer as timer_module
+from samphirelug import result_codes
+
+
+class RunToken(NamedTuple):
+    """Allow one piece of work to be run once by one incarnation."""
+
+    token_id: str
+    work: str
+    host: str
+    incarnation: str
+    home_region: str
+    # On the clock of the named incarnation, in ms since it started.
+    expires_ms: int
+
+
+_ADAPTER = pydantic.TypeAdapter(RunToken)
+
+
+class TokenIssuer:
+    """Issue run tokens and read those of other entry hosts."""
+
+    def __init__(
+        self, *, secret: str, timer: timer_module.TimerService
+    ) -> None:
+        self.signer = signing.Signer(secret=secret, purpose="run-token")
+        self.timer = timer
+
+    def issue(
+        self,
+        *,
+        work: str,
+        host: core.EntryHost,
+        home_region: str,
+        clock_ms: int,
+    ) -> str:
+        """Return a token for a host, given its last known clock in ms."""
+        token = RunToken(
+            token_id=secrets.token_urlsafe(12),
+            work=work,
+            host=host.name,
+            incarnation=host.incarnation,
+            home_region=home_region,
+            expires_ms=clock_ms + int(const.TOKEN_TTL_S * 1000),
+        )
+        return self.signer.sign(tuple(token))
+
+    def read(self, token: str) -> Result[RunToken, result_codes.Refusal]:
+        """Return a token's content; fails with TOKEN_INVALID."""
+        verified = self.signer.verify(token)
+        if isinstance(verified, Failure):
+            return _invalid(verified.failure())
+        try:
+            return Success(_ADAPTER.validate_python(verified.unwrap()))
+        except pydantic.ValidationError:
+            return _invalid("the token has unexpected fields")
+
+
+def _invalid(detail: str) -> Result[RunToken, result_codes.Refusal]:
+    return Failure(
+        result_codes.Refusal(result_codes.ResultCode.TOKEN_INVALID, detail)
+    )
