--- /dev/null
+++ b/src/samphirelug/components/store/io_http_store.py
@@ -0,0 +1,290 @@
+"""Reach the object store over HTTP."""
+
+from collections.abc import Mapping
+import socket
+from typing import Any
+from typing import NamedTuple
+from typing import TypeVar
+import urllib.parse
+
+import orjson
+import pydantic
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+from tornado import httpclient
+from tornado import simple_httpclient
+
+from samphirelug.components.metrics import registry
+from samphirelug.components.store import budget as store_budget
+from samphirelug.components.store import model
+from samphirelug.components.store import object_store
+from samphirelug import const
+from samphirelug import result_codes
+
+Found = TypeVar("Found")
+ObjectResult = Result[model.StoredObject, result_codes.Refusal]
+ListingResult = Result[model.Listing, result_codes.Refusal]
+
+# The store answers in milliseconds; a call that takes this long has met an
+# outage, and a slow store must not hold the callers of this client.
+CONNECT_TIMEOUT_S = 1.0
+REQUEST_TIMEOUT_S = 2.0
+# A whole catalogue can be many megabytes.
+LIST_TIMEOUT_S = 10.0
+MAX_CALLS_AT_ONCE = 32
+# The client raises time-outs before anything was sent with these messages.
+UNSENT_TIMEOUTS = ("Timeout while connecting", "Timeout in request queue")
+
+_OBJECT = pydantic.TypeAdapter(model.StoredObject)
+_LISTING = pydantic.TypeAdapter(model.Listing)
+
+
+class StoreTimeouts(NamedTuple):
+    """Bound the time of calls to the store, in seconds."""
+
+    connect_s: float = CONNECT_TIMEOUT_S
+    request_s: float = REQUEST_TIMEOUT_S
+    list_s: float = LIST_TIMEOUT_S
+
+
+class _Reply(NamedTuple):
+    """Hold an HTTP answer's status and body."""
+
+    status: int
+    body: bytes
+
+
+class _NoReply(NamedTuple):
+    """Tell why no answer came, and whether the store may have the call."""
+
+    reason: str
+    maybe_sent: bool
+
+
+class HttpObjectStore(object_store.ObjectStore):
+    """Classify every outcome of a call to the store."""
+
+    def __init__(
+        self,
+        *,
+        base_url: str,
+        budget: store_budget.CallBudget,
+        metrics: registry.Metrics | None = None,
+        timeouts: StoreTimeouts | None = None,
+    ) -> None:
+        self.base_url = base_url.rstrip("/")
+        self.budget = budget
+        self.metrics = metrics
+        self.timeouts = timeouts or StoreTimeouts()
+        self.client = simple_httpclient.SimpleAsyncHTTPClient(
+            force_instance=True, max_clients=MAX_CALLS_AT_ONCE
+        )
+
+    def close(self) -> None:
+        """Release the client's resources."""
+        self.client.close()
+
+    async def get(self, key: str) -> ObjectResult:
+        """Return an object; OBJECT_NOT_FOUND where there is none."""
+        empty = self._take(store_budget.CallKind.READ, "get")
+        if empty is not None:
+            return Failure(empty)
+        reply = await self._call(
+            "GET", _object_path(key), timeout_s=self.timeouts.request_s
+        )
+        return self._count("get", _read_object(reply, key))
+
+    async def list(self, prefix: str) -> ListingResult:
+        """Return the objects whose keys start with the prefix."""
+        empty = self._take(store_budget.CallKind.READ, "list")
+        if empty is not None:
+            return Failure(empty)
+        query = urllib.parse.urlencode({"prefix": prefix})
+        reply = await self._call(
+            "GET", f"/v1/objects?{query}", timeout_s=self.timeouts.list_s
+        )
+        return self._count("list", _read_listing(reply))
+
+    async def put(
+        self, key: str, value: Mapping[str, Any], *, expected_revision: int
+    ) -> ObjectResult:
+        """Write if the object still has the revision; 0 creates it.
+
+        Fails with STORE_CONFLICT when it has another, and with
+        STORE_OUTCOME_UNKNOWN when the answer was lost after sending.
+        """
+        body = orjson.dumps(value)
+        if len(body) > const.MAX_OBJECT_BYTES:
+            return Failure(
+                result_codes.Refusal(
+                    result_codes.ResultCode.CATALOGUE_INVALID,
+                    f"{key}: {len(body)} bytes are more than the store's"
+                    f" limit of {const.MAX_OBJECT_BYTES}",
+                )
+            )
+        empty = self._take(store_budget.CallKind.WRITE, "put")
+        if empty is not None:
+            return Failure(empty)
+        reply = await self._call(
+            "PUT",
+            _object_path(key),
+            timeout_s=self.timeouts.request_s,
+            body=body,
+            headers={
+                "If-Match": str(expected_revision),
+                "Content-Type": "application/json",
+            },
+        )
+        return self._count("put", _read_put(reply, key))
+
+    async def watch(
+        self, prefix: str, *, after: int, timeout_s: float
+    ) -> ListingResult:
+        """Wait for objects with a revision above after.
+
+        Returns an empty listing when timeout_s has passed without any.
+        """
+        empty = self._take(store_budget.CallKind.WATCH, "watch")
+        if empty is not None:
+            return Failure(empty)
+        query = urllib.parse.urlencode(
+            {"prefix": prefix, "after": after, "timeout_s": timeout_s}
+        )
+        reply = await self._call(
+            "GET",
+            f"/v1/watch?{query}",
+            timeout_s=timeout_s + self.timeouts.request_s,
+        )
+        return self._count("watch", _read_listing(reply))
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        *,
+        timeout_s: float,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> _Reply | _NoReply:
+        request = httpclient.HTTPRequest(
+            f"{self.base_url}{path}",
+            method=method,
+            body=body,
+            headers=headers,
+            connect_timeout=min(self.timeouts.connect_s, timeout_s),
+            request_timeout=timeout_s,
+            follow_redirects=False,
+        )
+        try:
+            response = await self.client.fetch(request, raise_error=False)
+        except (httpclient.HTTPError, OSError) as error:
+            return _NoReply(str(error) or type(error).__name__, _sent(error))
+        return _Reply(response.code, response.body)
+
+    def _take(
+        self, kind: store_budget.CallKind, call: str
+    ) -> result_codes.Refusal | None:
+        wait_s = self.budget.take(kind)
+        if not wait_s:
+            return None
+        refusal = result_codes.Refusal(
+            result_codes.ResultCode.STORE_BUDGET_EMPTY,
+            f"the budget of {kind} calls to the store is used up",
+            wait_s,
+        )
+        self._count(call, Failure(refusal))
+        return refusal
+
+    def _count(
+        self, call: str, result: Result[Found, result_codes.Refusal]
+    ) -> Result[Found, result_codes.Refusal]:
+        if self.metrics is not None:
+            outcome = (
+                result.failure().code
+                if isinstance(result, Failure)
+                else result_codes.ResultCode.OK
+            )
+            self.metrics.count_store_call(call, outcome.name.lower())
+        return result
+
+
+def _object_path(key: str) -> str:
+    return f"/v1/objects/{urllib.parse.quote(key, safe='/')}"
+
+
+def _sent(error: Exception) -> bool:
+    """Tell whether bytes of the request may have reached the store."""
+    if isinstance(error, ConnectionRefusedError | socket.gaierror):
+        return False
+    return not (
+        isinstance(error, simple_httpclient.HTTPTimeoutError)
+        and str(error.message) in UNSENT_TIMEOUTS
+    )
+
+
+def _unavailable(reason: str) -> result_codes.Refusal:
+    return result_codes.Refusal(
+        result_codes.ResultCode.STORE_UNAVAILABLE,
+        f"no answer from the store: {reason}",
+        1.0,
+    )
+
+
+def _unknown(key: str, reason: str) -> result_codes.Refusal:
+    return result_codes.Refusal(
+        result_codes.ResultCode.STORE_OUTCOME_UNKNOWN,
+        f"the write of {key} may have taken effect: {reason}",
+    )
+
+
+def _read_object(reply: _Reply | _NoReply, key: str) -> ObjectResult:
+    if isinstance(reply, _NoReply):
+        return Failure(_unavailable(reply.reason))
+    if reply.status == 404:
+        return Failure(
+            result_codes.Refusal(
+                result_codes.ResultCode.OBJECT_NOT_FOUND,
+                f"the store has no object {key}",
+            )
+        )
+    if reply.status != 200:
+        return Failure(_unavailable(f"status {reply.status}"))
+    try:
+        return Success(_OBJECT.validate_json(reply.body))
+    except pydantic.ValidationError:
+        return Failure(_unavailable("the answer is not an object"))
+
+
+def _read_listing(reply: _Reply | _NoReply) -> ListingResult:
+    if isinstance(reply, _NoReply):
+        return Failure(_unavailable(reply.reason))
+    if reply.status != 200:
+        return Failure(_unavailable(f"status {reply.status}"))
+    try:
+        return Success(_LISTING.validate_json(reply.body))
+    except pydantic.ValidationError:
+        return Failure(_unavailable("the answer is not a listing"))
+
+
+def _read_put(reply: _Reply | _NoReply, key: str) -> ObjectResult:
+    if isinstance(reply, _NoReply):
+        if reply.maybe_sent:
+            return Failure(_unknown(key, reply.reason))
+        return Failure(_unavailable(reply.reason))
+    if reply.status == 412:
+        return Failure(
+            result_codes.Refusal(
+                result_codes.ResultCode.STORE_CONFLICT,
+                f"{key} has another revision",
+            )
+        )
+    # The store refuses these without an effect.
+    if 400 <= reply.status < 500:
+        return Failure(_unavailable(f"status {reply.status}"))
+    if reply.status not in (200, 201):
+        return Failure(_unknown(key, f"status {reply.status}"))
+    try:
+        return Success(_OBJECT.validate_json(reply.body))
+    except pydantic.ValidationError:
+        return Failure(_unknown(key, "the answer is not an object"))
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,483 @@
+"""Stand in for the platform's object store, with faults on demand.
+
+Run it with: python -m standins.store --port N
+"""
+
+import argparse
+import asyncio
+import collections
+from collections.abc import Mapping
+import json
+from typing import Any
+from typing import NamedTuple
+
+import pydantic
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+from tornado import http1connection
+import tornado.httpserver
+import tornado.netutil
+import tornado.web
+from typing_extensions import TypedDict
+
+from samphirelug.components.store import model
+from samphirelug.components.store import object_store
+from samphirelug.helpers import timer as timer_helper
+from samphirelug import result_codes
+
+ObjectResult = Result[model.StoredObject, result_codes.Refusal]
+ListingResult = Result[model.Listing, result_codes.Refusal]
+
+# Enough versions for stale lists; bounds the memory of long runs.
+MAX_HISTORY = 20_000
+# The platform takes values of up to a megabyte.
+MAX_BODY_BYTES = 1024 * 1024
+MAX_WATCH_S = 60.0
+
+
+class FaultSettings(TypedDict, total=False):
+    """Set faults; a field that is absent keeps its value."""
+
+    # Every call fails without an effect.
+    down: bool
+    # Every answer comes this much later; a write takes effect first.
+    delay_s: float
+    # This many next writes take effect but are not answered.
+    lose_answers: int
+    # This many next writes are dropped before they take effect.
+    lose_requests: int
+    # Lists and reads answer as of this many revisions ago.
+    stale_by: int
+    # This many next watch answers leave out their objects.
+    skip_watch_answers: int
+
+
+FAULTS = pydantic.TypeAdapter(FaultSettings)
+
+
+class Faults:
+    """Hold the faults in force."""
+
+    def __init__(self) -> None:
+        self.down = False
+        self.delay_s = 0.0
+        self.lose_answers = 0
+        self.lose_requests = 0
+        self.stale_by = 0
+        self.skip_watch_answers = 0
+
+    def update(self, settings: FaultSettings) -> None:
+        """Take over the fields that are present."""
+        for name, value in settings.items():
+            setattr(self, name, value)
+
+
+class PutOutcome(NamedTuple):
+    """Tell whether a conditional write took effect."""
+
+    written: bool
+    # The new version, or the one that stood in the way.
+    current: model.StoredObject | None
+
+
+class StoreCore:
+    """Hold versioned objects in memory and count the calls."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.objects: dict[str, model.StoredObject] = {}
+        self.history: collections.deque[model.StoredObject] = (
+            collections.deque(maxlen=MAX_HISTORY)
+        )
+        self.faults = Faults()
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.waiting = 0
+        self.waiters: set[asyncio.Future[None]] = set()
+
+    def get(self, key: str) -> model.StoredObject | None:
+        """Return the object, as of the stale revision where one is set."""
+        if not self.faults.stale_by:
+            return self.objects.get(key)
+        return self._as_of(self.revision - self.faults.stale_by).get(key)
+
+    def list(self, prefix: str) -> model.Listing:
+        """Return the objects under a prefix."""
+        revision = max(0, self.revision - self.faults.stale_by)
+        objects = (
+            self._as_of(revision) if self.faults.stale_by else self.objects
+        )
+        return model.Listing(
+            revision,
+            tuple(
+                objects[key] for key in sorted(objects) if _under(key, prefix)
+            ),
+        )
+
+    def put(
+        self, key: str, value: Mapping[str, Any], expected_revision: int
+    ) -> PutOutcome:
+        """Write if the object still has the expected revision."""
+        current = self.objects.get(key)
+        if (current.revision if current else 0) != expected_revision:
+            return PutOutcome(False, current)
+        self.revision += 1
+        written = model.StoredObject(key, self.revision, value)
+        self.objects[key] = written
+        self.history.append(written)
+        for waiter in self.waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+        self.waiters.clear()
+        return PutOutcome(True, written)
+
+    def changes(self, prefix: str, after: int) -> model.Listing:
+        """Return the objects whose last write is after the revision."""
+        return model.Listing(
+            self.revision,
+            tuple(
+                sorted(
+                    (
+                        item
+                        for item in self.objects.values()
+                        if item.revision > after and _under(item.key, prefix)
+                    ),
+                    key=lambda item: item.revision,
+                )
+            ),
+        )
+
+    async def watch(
+        self,
+        prefix: str,
+        after: int,
+        timeout_s: float,
+        timer: timer_helper.TimerService,
+    ) -> model.Listing:
+        """Wait for changes under a prefix; empty when the time is up."""
+        until_s = timer.monotonic() + timeout_s
+        self.waiting += 1
+        try:
+            while True:
+                found = self.changes(prefix, after)
+                if found.objects or timer.monotonic() >= until_s:
+                    break
+                await self._wait(until_s, timer)
+        finally:
+            self.waiting -= 1
+        if found.objects and self.faults.skip_watch_answers:
+            self.faults.skip_watch_answers -= 1
+            return model.Listing(found.revision, ())
+        return found
+
+    async def _wait(
+        self, until_s: float, timer: timer_helper.TimerService
+    ) -> None:
+        waiter = asyncio.get_running_loop().create_future()
+        self.waiters.add(waiter)
+        timeout = timer.call_at(
+            when_s=until_s,
+            callback=lambda: (
+                None if waiter.done() else waiter.set_result(None)
+            ),
+        )
+        try:
+            await waiter
+        finally:
+            timeout.cancel()
+            self.waiters.discard(waiter)
+
+    def _as_of(self, revision: int) -> dict[str, model.StoredObject]:
+        return {
+            item.key: item
+            for item in self.history
+            if item.revision <= revision
+        }
+
+
+def _under(key: str, prefix: str) -> bool:
+    return key.startswith(prefix)
+
+
+class FakeObjectStore(object_store.ObjectStore):
+    """Offer one client's view of a store core in the same process.
+
+    Set reachable to False to cut off this client alone.
+    """
+
+    def __init__(
+        self,
+        *,
+        core: StoreCore,
+        timer: timer_helper.TimerService,
+        timeout_s: float = 2.0,
+    ) -> None:
+        self.core = core
+        self.timer = timer
+        self.timeout_s = timeout_s
+        self.reachable = True
+
+    async def get(self, key: str) -> ObjectResult:
+        """Return an object; OBJECT_NOT_FOUND where there is none."""
+        self.core.calls["get"] += 1
+        found = self.core.get(key)
+        if not await self._answered():
+            return Failure(_unavailable())
+        if found is None:
+            return Failure(
+                result_codes.Refusal(
+                    result_codes.ResultCode.OBJECT_NOT_FOUND, key
+                )
+            )
+        return Success(found)
+
+    async def list(self, prefix: str) -> ListingResult:
+        """Return the objects whose keys start with the prefix."""
+        self.core.calls["list"] += 1
+        found = self.core.list(prefix)
+        if not await self._answered():
+            return Failure(_unavailable())
+        return Success(found)
+
+    async def put(
+        self, key: str, value: Mapping[str, Any], *, expected_revision: int
+    ) -> ObjectResult:
+        """Write if the object still has the revision; 0 creates it."""
+        self.core.calls["put"] += 1
+        faults = self.core.faults
+        if not self._up():
+            return Failure(_unavailable())
+        if faults.lose_requests:
+            faults.lose_requests -= 1
+            return Failure(_unknown(key))
+        outcome = self.core.put(key, value, expected_revision)
+        if faults.lose_answers:
+            faults.lose_answers -= 1
+            return Failure(_unknown(key))
+        if not await self._answered():
+            return Failure(_unknown(key))
+        if not outcome.written or outcome.current is None:
+            return Failure(
+                result_codes.Refusal(
+                    result_codes.ResultCode.STORE_CONFLICT, key
+                )
+            )
+        return Success(outcome.current)
+
+    async def watch(
+        self, prefix: str, *, after: int, timeout_s: float
+    ) -> ListingResult:
+        """Wait for objects with a revision above after."""
+        self.core.calls["watch"] += 1
+        if not self._up():
+            return Failure(_unavailable())
+        found = await self.core.watch(prefix, after, timeout_s, self.timer)
+        if not await self._answered():
+            return Failure(_unavailable())
+        return Success(found)
+
+    def _up(self) -> bool:
+        return self.reachable and not self.core.faults.down
+
+    async def _answered(self) -> bool:
+        delay_s = self.core.faults.delay_s
+        if delay_s:
+            await self.timer.sleep(min(delay_s, self.timeout_s))
+        return self._up() and delay_s < self.timeout_s
+
+
+def _unavailable() -> result_codes.Refusal:
+    return result_codes.Refusal(
+        result_codes.ResultCode.STORE_UNAVAILABLE, "the store did not answer"
+    )
+
+
+def _unknown(key: str) -> result_codes.Refusal:
+    return result_codes.Refusal(
+        result_codes.ResultCode.STORE_OUTCOME_UNKNOWN,
+        f"the answer to the write of {key} was lost",
+    )
+
+
+class _Handler(tornado.web.RequestHandler):
+    """Apply the faults that all calls have in common."""
+
+    def initialize(
+        self, core: StoreCore, timer: timer_helper.TimerService
+    ) -> None:
+        """Take the shared core."""
+        self.core = core
+        self.timer = timer
+
+    async def respond(self, status: int, body: Mapping[str, Any]) -> None:
+        """Answer after the delay; drop the connection while down."""
+        if self.core.faults.delay_s:
+            await self.timer.sleep(self.core.faults.delay_s)
+        if self.core.faults.down:
+            self.drop()
+            return
+        self.set_status(status)
+        self.finish(json.dumps(body))
+
+    def drop(self) -> None:
+        """Close the connection without an answer."""
+        self._finished = True
+        self._auto_finish = False
+        connection = self.request.connection
+        if isinstance(connection, http1connection.HTTP1Connection):
+            connection.stream.close()
+
+    def number(self, name: str, default: float) -> float:
+        """Return a query argument as a number."""
+        try:
+            return float(self.get_query_argument(name, str(default)))
+        except ValueError:
+            raise tornado.web.HTTPError(
+                400, "%s is not a number", name
+            ) from None
+
+    def on_connection_close(self) -> None:
+        """Stop waiting for a caller that has gone."""
+        task = getattr(self, "task", None)
+        if task is not None:
+            task.cancel()
+
+
+class _ObjectHandler(_Handler):
+    async def get(self, key: str) -> None:
+        """Return one object."""
+        self.core.calls["get"] += 1
+        found = self.core.get(key)
+        if found is None:
+            await self.respond(404, {"key": key})
+            return
+        await self.respond(200, found._asdict())
+
+    async def put(self, key: str) -> None:
+        """Write one object conditionally."""
+        self.core.calls["put"] += 1
+        faults = self.core.faults
+        if faults.down:
+            self.drop()
+            return
+        if faults.lose_requests:
+            faults.lose_requests -= 1
+            self.drop()
+            return
+        if len(self.request.body) > MAX_BODY_BYTES:
+            raise tornado.web.HTTPError(413)
+        try:
+            value = json.loads(self.request.body)
+            expected = int(self.request.headers["If-Match"])
+        except (KeyError, ValueError):
+            raise tornado.web.HTTPError(400, "bad value or If-Match") from None
+        outcome = self.core.put(key, value, expected)
+        if faults.lose_answers:
+            faults.lose_answers -= 1
+            self.drop()
+            return
+        current = outcome.current._asdict() if outcome.current else {}
+        await self.respond(200 if outcome.written else 412, current)
+
+
+class _ListHandler(_Handler):
+    async def get(self) -> None:
+        """Return the objects under a prefix."""
+        self.core.calls["list"] += 1
+        found = self.core.list(self.get_query_argument("prefix", ""))
+        await self.respond(200, _listing_body(found))
+
+
+class _WatchHandler(_Handler):
+    async def get(self) -> None:
+        """Answer when there are changes, or empty when the time is up."""
+        self.core.calls["watch"] += 1
+        if self.core.faults.down:
+            self.drop()
+            return
+        self.task = asyncio.ensure_future(
+            self.core.watch(
+                self.get_query_argument("prefix", ""),
+                int(self.number("after", 0)),
+                min(self.number("timeout_s", 0.0), MAX_WATCH_S),
+                self.timer,
+            )
+        )
+        try:
+            found = await self.task
+        except asyncio.CancelledError:
+            return
+        await self.respond(200, _listing_body(found))
+
+
+class _FaultsHandler(_Handler):
+    def post(self) -> None:
+        """Set faults."""
+        try:
+            settings = FAULTS.validate_json(self.request.body)
+        except pydantic.ValidationError as error:
+            raise tornado.web.HTTPError(400, "%s", error) from None
+        self.core.faults.update(settings)
+        self.finish(json.dumps(vars(self.core.faults)))
+
+
+class _CallsHandler(_Handler):
+    def get(self) -> None:
+        """Return the number of calls by kind and the watches that wait."""
+        self.finish(
+            json.dumps({**self.core.calls, "waiting": self.core.waiting})
+        )
+
+
+def _listing_body(listing: model.Listing) -> Mapping[str, Any]:
+    return {
+        "revision": listing.revision,
+        "objects": [item._asdict() for item in listing.objects],
+    }
+
+
+def make_application(
+    core: StoreCore, timer: timer_helper.TimerService
+) -> tornado.web.Application:
+    """Return the HTTP application over a core."""
+    shared = {"core": core, "timer": timer}
+    return tornado.web.Application(
+        [
+            (r"/v1/objects/(.+)", _ObjectHandler, shared),
+            (r"/v1/objects", _ListHandler, shared),
+            (r"/v1/watch", _WatchHandler, shared),
+            (r"/control/faults", _FaultsHandler, shared),
+            (r"/control/calls", _CallsHandler, shared),
+        ],
+        log_function=lambda _: None,
+    )
+
+
+def listen(core: StoreCore, *, port: int, address: str = "127.0.0.1") -> int:
+    """Serve the core on the running loop and return the port."""
+    sockets = tornado.netutil.bind_sockets(port, address)
+    server = tornado.httpserver.HTTPServer(
+        make_application(core, timer_helper.LoopTimerService())
+    )
+    server.add_sockets(sockets)
+    bound: int = sockets[0].getsockname()[1]
+    return bound
+
+
+async def _serve(port: int, address: str) -> None:
+    bound = listen(StoreCore(), port=port, address=address)
+    print(f"ready port={bound}", flush=True)
+    await asyncio.Event().wait()
+
+
+def main() -> None:
+    """Run the stand-in until it is stopped."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--address", default="127.0.0.1")
+    arguments = parser.parse_args()
+    asyncio.run(_serve(arguments.port, arguments.address))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/components/catalogue/__init__.py
@@ -0,0 +1,1 @@
+"""Test the catalogue component."""
--- /dev/null
+++ b/tests/components/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Test the commands component."""
--- /dev/null
+++ b/tests/components/store/__init__.py
@@ -0,0 +1,1 @@
+"""Test the store component."""
--- /dev/null
+++ b/tests/components/store/test_io_http_store.py
@@ -0,0 +1,139 @@
+"""Test the HTTP client against the store's stand-in."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import socket
+
+import pytest
+from returns.result import Failure
+from returns.result import Success
+
+from samphirelug.components.store import budget
+from samphirelug.components.store import io_http_store
+from samphirelug.helpers import timer as timer_helper
+from samphirelug import result_codes
+from standins import store as store_standin
+
+TIMEOUTS = io_http_store.StoreTimeouts(
+    connect_s=0.3, request_s=0.3, list_s=0.3
+)
+
+
+def make_client(port: int) -> io_http_store.HttpObjectStore:
+    return io_http_store.HttpObjectStore(
+        base_url=f"http://127.0.0.1:{port}",
+        budget=budget.CallBudget(timer=timer_helper.LoopTimerService()),
+        timeouts=TIMEOUTS,
+    )
+
+
+def run(
+    body: Callable[
+        [store_standin.StoreCore, io_http_store.HttpObjectStore],
+        Awaitable[None],
+    ],
+) -> None:
+    async def wrapped() -> None:
+        core = store_standin.StoreCore()
+        client = make_client(store_standin.listen(core, port=0))
+        await body(core, client)
+        client.close()
+
+    asyncio.run(wrapped())
+
+
+def code_of(result: object) -> result_codes.ResultCode:
+    assert isinstance(result, Failure)
+    code = result.failure().code
+    assert isinstance(code, result_codes.ResultCode)
+    return code
+
+
+def test_conditional_writes_and_reads() -> None:
+    """Guard against a write that ignores the expected revision."""
+
+    async def body(
+        core: store_standin.StoreCore, client: io_http_store.HttpObjectStore
+    ) -> None:
+        first = (
+            await client.put("a/b", {"n": 1}, expected_revision=0)
+        ).unwrap()
+        assert first.revision == 1
+        again = await client.put("a/b", {"n": 2}, expected_revision=0)
+        assert code_of(again) is result_codes.ResultCode.STORE_CONFLICT
+        assert (await client.get("a/b")) == Success(first)
+        missing = await client.get("a/c")
+        assert code_of(missing) is result_codes.ResultCode.OBJECT_NOT_FOUND
+        listing = (await client.list("a/")).unwrap()
+        assert listing == (1, (first,))
+        assert core.calls == {"put": 2, "get": 2, "list": 1}
+
+    run(body)
+
+
+def test_watch_wakes_and_times_out() -> None:
+    """Guard against a watch that misses a change or never returns."""
+
+    async def body(
+        core: store_standin.StoreCore, client: io_http_store.HttpObjectStore
+    ) -> None:
+        waiting = asyncio.create_task(
+            client.watch("a/", after=0, timeout_s=5.0)
+        )
+        await asyncio.sleep(0.1)
+        assert core.waiting == 1
+        core.put("other", {}, 0)
+        core.put("a/b", {"n": 1}, 0)
+        listing = (await waiting).unwrap()
+        assert [item.key for item in listing.objects] == ["a/b"]
+        empty = (await client.watch("a/", after=2, timeout_s=0.1)).unwrap()
+        assert empty == (2, ())
+
+    run(body)
+
+
+@pytest.mark.parametrize(
+    ("faults", "read", "write", "written"),
+    [
+        ({"down": True}, "STORE_UNAVAILABLE", "STORE_OUTCOME_UNKNOWN", 0),
+        ({"delay_s": 0.6}, "STORE_UNAVAILABLE", "STORE_OUTCOME_UNKNOWN", 1),
+        ({"lose_answers": 1}, "OBJECT_NOT_FOUND", "STORE_OUTCOME_UNKNOWN", 1),
+        ({"lose_requests": 1}, "OBJECT_NOT_FOUND", "STORE_OUTCOME_UNKNOWN", 0),
+    ],
+)
+def test_faults_are_classified(
+    faults: store_standin.FaultSettings, read: str, write: str, written: int
+) -> None:
+    """Guard against calling a write with a lost answer a failure."""
+
+    async def body(
+        core: store_standin.StoreCore, client: io_http_store.HttpObjectStore
+    ) -> None:
+        core.faults.update(faults)
+        assert code_of(await client.get("a")).name == read
+        result = await client.put("a", {}, expected_revision=0)
+        assert code_of(result).name == write
+        assert core.revision == written
+
+    run(body)
+
+
+def test_refused_connection_is_unavailable() -> None:
+    """Guard against an unknown outcome where nothing can have been sent."""
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        port = unused.getsockname()[1]
+
+    async def body() -> None:
+        client = make_client(port)
+        for result in (
+            await client.get("a"),
+            await client.put("a", {}, expected_revision=0),
+            await client.watch("a", after=0, timeout_s=0.1),
+        ):
+            code = code_of(result)
+            assert code is result_codes.ResultCode.STORE_UNAVAILABLE
+        client.close()
+
+    asyncio.run(body())
