Connect entry hosts by authenticated websockets

Cause: the components that send heartbeats, loans, outcomes and catalogue deltas need a mesh to send them through.

Ruled out: tokens valid for a time on wall clocks (hosts' clocks are not compared anywhere else, and a token could be replayed within that time); ordering incarnations by their text (nothing promises an order, so a later direct handshake decides and the replaced one is retired); queued heartbeats (they supersede each other, so only the newest waits).

Result codes 4001 to 4004 are the websocket close codes. Of two connections of a pair both ends keep the one that the smaller name dialled. A request to a known host without a connection dials it.

--- /dev/null
+++ b/src/samphirelug/components/peers/io_mesh.py
@@ -0,0 +1,844 @@
+"""Connect entry hosts by websockets."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+import contextlib
+import itertools
+import logging
+import random
+import socket
+from typing import Any
+from typing import TypeVar
+from urllib import parse
+
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+from websockets.asyncio import client
+from websockets.asyncio import connection as ws_connection
+from websockets.asyncio import server
+from websockets import exceptions
+
+from samphirelug.components.metrics import registry
+from samphirelug.components.peers import auth
+from samphirelug.components.peers import codec
+from samphirelug.components.peers import const
+from samphirelug.components.peers import membership as peer_membership
+from samphirelug.components.peers import mesh
+from samphirelug.components.peers import model
+from samphirelug.components.peers import send_queue
+from samphirelug.components.peers import topology
+from samphirelug import const as shared_const
+from samphirelug import core
+from samphirelug.helpers import timer as timer_helper
+from samphirelug import result_codes
+
+_LOG = logging.getLogger(__name__)
+_Code = result_codes.ResultCode
+_HANDSHAKE = (model.Challenge, model.Hello, model.Welcome)
+# Sent with a normal closure when the pair already has a connection.
+_DUPLICATE = "duplicate connection"
+# Tells a process that its host name has been taken over by a later start.
+_SUPERSEDED = "incarnation superseded"
+_T = TypeVar("_T")
+_TRANSPORT_ERRORS = (OSError, exceptions.WebSocketException, TimeoutError)
+
+
+class _TurnedAwayError(Exception):
+    """Carry why a handshake ended."""
+
+    def __init__(self, refusal: result_codes.Refusal) -> None:
+        super().__init__(refusal.detail)
+        self.refusal = refusal
+
+
+class _PeerConnection:
+    """Hold one authenticated connection and its queue."""
+
+    def __init__(
+        self,
+        *,
+        websocket: ws_connection.Connection,
+        host: core.EntryHost,
+        dialled: bool,
+        now: float,
+    ) -> None:
+        self.websocket = websocket
+        self.host = host
+        self.dialled = dialled
+        self.queue = send_queue.SendQueue()
+        self.wake = asyncio.Event()
+        self.encoder = codec.SparseEncoder()
+        self.decoder = codec.SparseDecoder()
+        self.received_at_s = now
+
+    def put(self, frame: bytes) -> None:
+        """Queue a frame without waiting."""
+        self.queue.put(frame)
+        self.wake.set()
+
+    def put_heartbeat(self, heartbeat: model.Heartbeat) -> None:
+        """Queue a heartbeat without waiting."""
+        self.queue.put_heartbeat(heartbeat)
+        self.wake.set()
+
+    async def write(self) -> None:
+        """Send what is queued until the connection closes."""
+        while True:
+            item = self.queue.take()
+            if item is None:
+                self.wake.clear()
+                await self.wake.wait()
+                continue
+            if isinstance(item, model.Heartbeat):
+                item = self.encoder.encode(item)
+            await self.websocket.send(item)
+
+
+class _PendingRequest:
+    """Hold the future of a request and the peer that was asked."""
+
+    def __init__(
+        self, *, host: str, future: "asyncio.Future[model.Message | None]"
+    ) -> None:
+        self.host = host
+        self.future = future
+
+    def finish(self, message: model.Message | None) -> None:
+        """Set the reply, or None where none will come."""
+        if not self.future.done():
+            self.future.set_result(message)
+
+
+class WebsocketMesh(mesh.PeerMesh):
+    """Keep one connection to each wanted peer and pass messages."""
+
+    def __init__(
+        self,
+        *,
+        host: core.EntryHost,
+        secret: str,
+        cluster: str,
+        seeds: Iterable[str],
+        timer: timer_helper.TimerService,
+        heartbeat: Callable[[], model.Heartbeat],
+        rng: random.Random | None = None,
+        metrics: registry.Metrics | None = None,
+        sock: socket.socket | None = None,
+    ) -> None:
+        self.host = host
+        self.timer = timer
+        self.heartbeat = heartbeat
+        # Only jitter and test nonces come from here.
+        self.rng = rng if rng is not None else random.Random()
+        self.metrics = metrics
+        self.sock = sock
+        self.auth = auth.JoinAuthenticator(
+            secret=secret, cluster=cluster, host=host, timer=timer
+        )
+        self.membership = peer_membership.Membership(own=host)
+        self.seeds = {url: "" for url in seeds if url != host.peer_url}
+        self.connections: dict[str, _PeerConnection] = {}
+        self.on_members: list[Callable[[], None]] = []
+        # Called when a peer has seen a later start under this host's name.
+        self.on_superseded: list[Callable[[], None]] = []
+        self._handlers: dict[type, mesh.Handler] = {}
+        self._pending: dict[int, _PendingRequest] = {}
+        self._ids = itertools.count(1)
+        self._dialers: dict[str, asyncio.Task[None]] = {}
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._handling = 0
+        self._unjoined = 0
+        # Hosts that a dialled handshake is under way with; a setting and the
+        # host list may name the same one.
+        self._greeting: set[str] = set()
+        # Hosts dialled for a request, by when the connection may close.
+        self._on_demand: dict[str, float] = {}
+        self._connected: dict[str, asyncio.Event] = {}
+        self._subscription: timer_helper.Subscription | None = None
+        self._server: server.Server | None = None
+        self._last_heartbeat_s = float("-inf")
+        self._stopped = False
+
+    async def start(self) -> None:
+        """Listen and begin to dial; OSError if the address is taken."""
+        address = parse.urlsplit(self.host.peer_url)
+        where: dict[str, Any] = (
+            {"sock": self.sock}
+            if self.sock is not None
+            else {"host": address.hostname, "port": address.port}
+        )
+        self._server = await server.serve(
+            self._accept,
+            **where,
+            max_size=shared_const.MAX_PEER_MESSAGE_BYTES,
+            # Frames read ahead; more only use memory, since the reader
+            # handles one frame at a time.
+            max_queue=2,
+            compression=None,
+            ping_interval=None,
+            close_timeout=1,
+        )
+        self._subscription = self.timer.subscribe(
+            interval_s=shared_const.HEARTBEAT_INTERVAL_S, callback=self._tick
+        )
+        self._update_dialers()
+
+    async def stop(self) -> None:
+        """Close all connections and the listener."""
+        self._stopped = True
+        if self._subscription is not None:
+            self._subscription.cancel()
+        tasks = [*self._dialers.values(), *self._tasks]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+        for pending in self._pending.values():
+            pending.finish(None)
+
+    def set_known_hosts(self, hosts: Iterable[core.EntryHost]) -> None:
+        """Replace the hosts that the platform's list names."""
+        self.membership.set_listed(hosts, now=self.timer.monotonic())
+        self._update_dialers()
+
+    def is_watcher(self) -> bool:
+        """Tell whether this host is a watcher of its zone now."""
+        return topology.is_watcher(
+            self.host,
+            self.membership.zone_members(now=self.timer.monotonic()),
+        )
+
+    def live_peers(self) -> tuple[model.PeerView, ...]:
+        """Return the peers heard within PEER_TIMEOUT_S."""
+        now = self.timer.monotonic()
+        return tuple(
+            model.PeerView(
+                heartbeat=member.heartbeat,
+                heard_at_s=member.heard_at_s,
+                connected=member.host.name in self.connections,
+            )
+            for member in self.membership.live(now=now)
+            if member.heartbeat is not None and member.heard_at_s is not None
+        )
+
+    async def request(
+        self, host: str, message: model.Message, *, timeout_s: float
+    ) -> Result[model.Message, result_codes.Refusal]:
+        """Send a message and return its answer.
+
+        Fails with PEER_UNREACHABLE when no answer came in time, and with
+        PEER_MESSAGE_TOO_LARGE. A known host without a connection is dialled.
+        """
+        message_id = next(self._ids)
+        try:
+            frame = codec.encode(message, message_id=message_id)
+        except ValueError as error:
+            return _refuse(_Code.PEER_MESSAGE_TOO_LARGE, str(error))
+        pending = _PendingRequest(
+            host=host, future=asyncio.get_running_loop().create_future()
+        )
+        self._pending[message_id] = pending
+        expiry = self.timer.call_at(
+            when_s=self.timer.monotonic() + timeout_s,
+            callback=lambda: pending.finish(None),
+        )
+        try:
+            if not await self._reach(host, pending):
+                return _refuse(_Code.PEER_UNREACHABLE, f"no link to {host}")
+            self.connections[host].put(frame)
+            reply = await pending.future
+        finally:
+            expiry.cancel()
+            del self._pending[message_id]
+        if reply is None:
+            return _refuse(_Code.PEER_UNREACHABLE, f"no reply from {host}")
+        return Success(reply)
+
+    def send(self, host: str, message: model.Message) -> None:
+        """Send a message without an answer, if the peer is connected."""
+        connection = self.connections.get(host)
+        if connection is not None:
+            self._put([connection], message)
+
+    def broadcast(self, message: model.Message) -> None:
+        """Send a message to all connected peers."""
+        self._put(self.connections.values(), message)
+
+    def set_handler(self, kind: type, handler: mesh.Handler) -> None:
+        """Call the handler for each received message of the type."""
+        self._handlers[kind] = handler
+
+    def heartbeat_now(self) -> None:
+        """Send a heartbeat early, such as for a changed state or position."""
+        now = self.timer.monotonic()
+        if now - self._last_heartbeat_s < const.HEARTBEAT_MIN_INTERVAL_S:
+            return
+        self._last_heartbeat_s = now
+        beat = self.heartbeat()
+        for connection in self.connections.values():
+            connection.put_heartbeat(beat)
+
+    def _tick(self) -> None:
+        now = self.timer.monotonic()
+        self.heartbeat_now()
+        for connection in tuple(self.connections.values()):
+            if now - connection.received_at_s > const.SILENT_CONNECTION_S:
+                self._drop(connection, 1001, "silent")
+        self.membership.forget(now=now)
+        self._update_dialers()
+
+    def _put(
+        self, connections: Iterable[_PeerConnection], message: model.Message
+    ) -> None:
+        try:
+            frame = codec.encode(message)
+        except ValueError as error:
+            _LOG.error("Peer message not sent: %s", error)
+            self._count(type(message).__name__, "too_large")
+            return
+        for connection in connections:
+            connection.put(frame)
+
+    async def _reach(self, host: str, pending: _PendingRequest) -> bool:
+        if host in self.connections:
+            if host in self._on_demand:
+                self._keep_on_demand(host)
+            return True
+        member = self.membership.members.get(host)
+        if member is None or not member.host.peer_url or self._stopped:
+            return False
+        self._keep_on_demand(host)
+        self._update_dialers()
+        event = self._connected.setdefault(host, asyncio.Event())
+        connected = asyncio.ensure_future(event.wait())
+        try:
+            await asyncio.wait(
+                (connected, pending.future),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            connected.cancel()
+        return host in self.connections
+
+    def _keep_on_demand(self, host: str) -> None:
+        self._on_demand[host] = self.timer.monotonic() + const.ON_DEMAND_IDLE_S
+
+    # Dialling.
+
+    def _wanted(self) -> frozenset[str]:
+        now = self.timer.monotonic()
+        self._on_demand = {
+            name: until
+            for name, until in self._on_demand.items()
+            if until > now
+        }
+        own = topology.Node(self.host.name, self.host.zone)
+        if self._mesh_is_full():
+            wanted = frozenset(self.membership.members)
+        else:
+            wanted = topology.wanted_peers(
+                own, self.membership.candidates(now=now)
+            )
+        # A leaving host still hands over its outcomes.
+        leaving = {
+            name
+            for name in self.connections
+            if self.membership.state_of(name, now=now)
+            is model.MemberState.LEAVING
+        }
+        return wanted | self._on_demand.keys() | leaving
+
+    def _update_dialers(self) -> None:
+        if self._stopped or self._subscription is None:
+            return
+        wanted = self._wanted()
+        # Above the full mesh, settings only help to find the first hosts.
+        bootstrap = self._mesh_is_full() or not self.connections
+        for name in wanted - self._dialers.keys():
+            self._dialers[name] = self._spawn(self._keep_dialled(name))
+        for url in self.seeds if bootstrap else ():
+            if url not in self._dialers:
+                self._dialers[url] = self._spawn(self._keep_seed(url))
+        for key in self._dialers.keys() - wanted:
+            if key in self.seeds and bootstrap:
+                continue
+            self._dialers.pop(key).cancel()
+            connection = self.connections.get(key)
+            if connection is not None and connection.dialled:
+                self._drop(connection, 1000, "not wanted")
+
+    def _mesh_is_full(self) -> bool:
+        known = len(self.membership.members) + 1
+        return known <= const.FULL_MESH_MAX_HOSTS
+
+    async def _keep_dialled(self, name: str) -> None:
+        if self.host.name > name and name not in self._on_demand:
+            await self.timer.sleep(
+                const.SECOND_DIAL_DELAY_S * (1 + self.rng.random())
+            )
+        delay_s = const.RECONNECT_MIN_S
+        while True:
+            if name not in self.connections:
+                member = self.membership.members.get(name)
+                url = member.host.peer_url if member is not None else ""
+                if url and await self._dial(url, name):
+                    delay_s = const.RECONNECT_MIN_S
+                elif name not in self.connections:
+                    self.membership.unreachable(
+                        name, now=self.timer.monotonic()
+                    )
+                    delay_s = min(2 * delay_s, const.RECONNECT_MAX_S)
+            await self.timer.sleep(delay_s * (0.5 + self.rng.random()))
+
+    async def _keep_seed(self, url: str) -> None:
+        delay_s = const.RECONNECT_MIN_S
+        while self.seeds[url] != self.host.name:
+            if self.seeds[url] not in self.connections and not (
+                await self._dial(url, "")
+            ):
+                delay_s = min(2 * delay_s, const.RECONNECT_MAX_S)
+            else:
+                delay_s = const.RECONNECT_MIN_S
+            await self.timer.sleep(delay_s * (0.5 + self.rng.random()))
+
+    async def _dial(self, url: str, name: str) -> bool:
+        """Serve one connection until it ends; False if it never joined."""
+        try:
+            websocket = await client.connect(
+                url,
+                max_size=shared_const.MAX_PEER_MESSAGE_BYTES,
+                max_queue=2,
+                compression=None,
+                proxy=None,
+                open_timeout=const.JOIN_VALID_S,
+                ping_interval=None,
+                close_timeout=1,
+            )
+        except (*_TRANSPORT_ERRORS, ValueError) as error:
+            _LOG.debug("Peer %s not reached: %s", url, error)
+            return False
+        try:
+            with self._join_deadline(websocket):
+                host = await self._greet(websocket, url=url, name=name)
+            if host is None:
+                return True
+            return await self._serve(websocket, host, dialled=True)
+        except _TurnedAwayError as error:
+            await self._turn_away(websocket, error.refusal, url)
+        except exceptions.ConnectionClosed as closed:
+            _LOG.warning("Peer %s ended the handshake: %s", url, closed)
+            if closed.rcvd is not None and closed.rcvd.reason == _DUPLICATE:
+                return True
+            self._note_superseded(closed)
+        finally:
+            await websocket.close()
+        return False
+
+    async def _greet(
+        self, websocket: ws_connection.Connection, *, url: str, name: str
+    ) -> core.EntryHost | None:
+        """Join as the client; None where the pair is connected already."""
+        challenge = await _receive(websocket, model.Challenge)
+        if url in self.seeds:
+            self.seeds[url] = challenge.host
+        if (
+            challenge.host == self.host.name
+            or challenge.host in self.connections
+            or challenge.host in self._greeting
+        ):
+            return None
+        if name and challenge.host != name:
+            raise _TurnedAwayError(
+                result_codes.Refusal(
+                    _Code.PEER_UNAUTHENTICATED,
+                    f"dialled {name}, reached {challenge.host}",
+                )
+            )
+        protocol = min(const.PROTOCOL_MAX, challenge.protocol_max)
+        if protocol < max(const.PROTOCOL_MIN, challenge.protocol_min):
+            raise _TurnedAwayError(_version_refusal(challenge.protocol_max))
+        self._greeting.add(challenge.host)
+        try:
+            return await self._prove(websocket, challenge, protocol)
+        finally:
+            self._greeting.discard(challenge.host)
+
+    async def _prove(
+        self,
+        websocket: ws_connection.Connection,
+        challenge: model.Challenge,
+        protocol: int,
+    ) -> core.EntryHost:
+        own = auth.OpenChallenge(timer=self.timer)
+        token = self.auth.sign(
+            audience=challenge.host, nonce=challenge.nonce, role="client"
+        )
+        hello = model.Hello(
+            protocol=protocol, host=self.host, token=token, nonce=own.nonce
+        )
+        await websocket.send(codec.encode(hello))
+        welcome = await _receive(websocket, model.Welcome)
+        if welcome.host.name != challenge.host:
+            raise _TurnedAwayError(
+                result_codes.Refusal(
+                    _Code.PEER_UNAUTHENTICATED, "name changed in handshake"
+                )
+            )
+        self._check(welcome.token, own, welcome.host, role="server")
+        return welcome.host
+
+    # Accepting.
+
+    async def _accept(self, websocket: server.ServerConnection) -> None:
+        where = str(websocket.remote_address)
+        if self._unjoined >= const.MAX_UNJOINED_CONNECTIONS:
+            await websocket.close(1013, "too many handshakes")
+            return
+        self._unjoined += 1
+        try:
+            with self._join_deadline(websocket):
+                host = await self._admit(websocket)
+        except _TurnedAwayError as error:
+            await self._turn_away(websocket, error.refusal, where)
+            return
+        except exceptions.ConnectionClosed:
+            return
+        finally:
+            self._unjoined -= 1
+        await self._serve(websocket, host, dialled=False)
+
+    async def _admit(
+        self, websocket: ws_connection.Connection
+    ) -> core.EntryHost:
+        """Join as the server."""
+        own = auth.OpenChallenge(timer=self.timer)
+        await websocket.send(
+            codec.encode(
+                model.Challenge(
+                    protocol_min=const.PROTOCOL_MIN,
+                    protocol_max=const.PROTOCOL_MAX,
+                    host=self.host.name,
+                    nonce=own.nonce,
+                )
+            )
+        )
+        hello = await _receive(websocket, model.Hello)
+        if not (const.PROTOCOL_MIN <= hello.protocol <= const.PROTOCOL_MAX):
+            raise _TurnedAwayError(_version_refusal(hello.protocol))
+        self._check(hello.token, own, hello.host, role="client")
+        if hello.host.name == self.host.name:
+            raise _TurnedAwayError(
+                result_codes.Refusal(
+                    _Code.PEER_UNAUTHENTICATED, "name of this host"
+                )
+            )
+        welcome = model.Welcome(
+            protocol=hello.protocol,
+            host=self.host,
+            token=self.auth.sign(
+                audience=hello.host.name, nonce=hello.nonce, role="server"
+            ),
+        )
+        await websocket.send(codec.encode(welcome))
+        return hello.host
+
+    def _check(
+        self,
+        token: str,
+        challenge: auth.OpenChallenge,
+        claimed: core.EntryHost,
+        *,
+        role: str,
+    ) -> None:
+        result = self.auth.check(
+            token, challenge=challenge, claimed=claimed, role=role
+        )
+        match result:
+            case Failure(refusal):
+                raise _TurnedAwayError(refusal)
+
+    @contextlib.contextmanager
+    def _join_deadline(
+        self, websocket: ws_connection.Connection
+    ) -> Iterator[None]:
+        """Abort a handshake that takes longer than JOIN_VALID_S."""
+        expiry = self.timer.call_at(
+            when_s=self.timer.monotonic() + const.JOIN_VALID_S,
+            callback=websocket.transport.abort,
+        )
+        try:
+            yield
+        finally:
+            expiry.cancel()
+
+    async def _turn_away(
+        self,
+        websocket: ws_connection.Connection,
+        refusal: result_codes.Refusal,
+        where: str,
+    ) -> None:
+        _LOG.warning("Peer %s turned away: %s", where, refusal.detail)
+        self._count("Hello", refusal.code.name.lower())
+        # Result codes from 4000 are private websocket close codes too.
+        await websocket.close(int(refusal.code), refusal.detail[:100])
+
+    # Joined connections.
+
+    async def _serve(
+        self,
+        websocket: ws_connection.Connection,
+        host: core.EntryHost,
+        *,
+        dialled: bool,
+    ) -> bool:
+        """Run a joined connection until it ends; False if not accepted."""
+        now = self.timer.monotonic()
+        if not self.membership.joined(host, now=now):
+            await self._turn_away(
+                websocket,
+                result_codes.Refusal(
+                    _Code.PEER_UNAUTHENTICATED,
+                    _SUPERSEDED,
+                ),
+                host.name,
+            )
+            return False
+        connection = _PeerConnection(
+            websocket=websocket, host=host, dialled=dialled, now=now
+        )
+        if not self._register(connection):
+            await websocket.close(1000, _DUPLICATE)
+            return True
+        writer = self._spawn(connection.write())
+        try:
+            await self._read(connection)
+        except exceptions.ConnectionClosed as closed:
+            self._note_superseded(closed)
+        finally:
+            writer.cancel()
+            self._unregister(connection)
+            await websocket.close()
+        return True
+
+    def _note_superseded(self, closed: exceptions.ConnectionClosed) -> None:
+        if closed.rcvd is None or closed.rcvd.reason != _SUPERSEDED:
+            return
+        _LOG.error("A later start has taken over the name %s", self.host.name)
+        for callback in self.on_superseded:
+            callback()
+
+    def _register(self, connection: _PeerConnection) -> bool:
+        """Take the connection as the pair's only one, unless it loses.
+
+        Both ends keep the one that the smaller name dialled; of two that
+        the same host dialled, the newer one, whose handshake is fresh.
+        """
+        name = connection.host.name
+        old = self.connections.get(name)
+        if old is not None:
+            same = old.host.incarnation == connection.host.incarnation
+            if same and old.dialled != connection.dialled:
+                keeper = self.host.name < name
+                if connection.dialled is not keeper:
+                    return False
+            self._drop(old, 1000, _DUPLICATE)
+        self.connections[name] = connection
+        if event := self._connected.pop(name, None):
+            event.set()
+        connection.put_heartbeat(self.heartbeat())
+        self._announce(connection)
+        self._update_dialers()
+        self._members_changed()
+        return True
+
+    def _unregister(self, connection: _PeerConnection) -> None:
+        name = connection.host.name
+        if self.connections.get(name) is not connection:
+            return
+        del self.connections[name]
+        for pending in self._pending.values():
+            if pending.host == name:
+                pending.finish(None)
+        self._members_changed()
+
+    def _drop(
+        self, connection: _PeerConnection, code: int, reason: str
+    ) -> None:
+        self._spawn(connection.websocket.close(code, reason))
+
+    def _announce(self, connection: _PeerConnection) -> None:
+        """Tell peers of each other, so that one setting joins a host."""
+        if not self._mesh_is_full():
+            return
+        hosts = tuple(
+            other.host
+            for other in self.connections.values()
+            if other is not connection
+        )
+        self._put([connection], model.KnownHosts(hosts))
+        others = [
+            other
+            for other in self.connections.values()
+            if other is not connection
+        ]
+        self._put(others, model.KnownHosts((connection.host,)))
+
+    def _members_changed(self) -> None:
+        for callback in self.on_members:
+            callback()
+
+    async def _read(self, connection: _PeerConnection) -> None:
+        async for data in connection.websocket:
+            connection.received_at_s = self.timer.monotonic()
+            if isinstance(data, str):
+                refusal = result_codes.Refusal(
+                    _Code.PEER_MESSAGE_INVALID, "text frame"
+                )
+            else:
+                match connection.decoder.decode(data):
+                    case Success(codec.UnknownType(name)):
+                        # Label values from peers would be unbounded.
+                        _LOG.info("Unknown peer message type %s", name)
+                        self._count("unknown", "ignored")
+                        continue
+                    case Success(model.Frame() as frame):
+                        refused = self._handle(connection, frame)
+                        if refused is None:
+                            continue
+                        refusal = refused
+                    case Failure(result_codes.Refusal() as invalid):
+                        refusal = invalid
+            self._count("invalid", refusal.code.name.lower())
+            _LOG.warning(
+                "Connection to %s closed: %s",
+                connection.host.name,
+                refusal.detail,
+            )
+            await connection.websocket.close(
+                int(refusal.code), refusal.detail[:100]
+            )
+            return
+
+    def _handle(
+        self, connection: _PeerConnection, frame: model.Frame
+    ) -> result_codes.Refusal | None:
+        """Act on a frame; a refusal closes the connection."""
+        message = frame.message
+        name = connection.host.name
+        if isinstance(message, _HANDSHAKE):
+            return result_codes.Refusal(
+                _Code.PEER_MESSAGE_INVALID, "handshake after joining"
+            )
+        self._count(type(message).__name__, "ok")
+        if frame.reply_to is not None:
+            pending = self._pending.get(frame.reply_to)
+            # Ids are per process, so a peer can only answer its own.
+            if pending is not None and pending.host == name:
+                pending.finish(message)
+            return None
+        now = self.timer.monotonic()
+        if isinstance(message, model.Heartbeat):
+            if message.host != connection.host:
+                return result_codes.Refusal(
+                    _Code.PEER_MESSAGE_INVALID, "heartbeat of another host"
+                )
+            if not self.membership.heard(message, now=now):
+                return None
+        elif isinstance(message, model.KnownHosts):
+            self._learn(message)
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            return None
+        if self._handling >= const.MAX_REQUESTS_HANDLED:
+            self._count(type(message).__name__, "dropped")
+            return None
+        self._spawn(self._run_handler(handler, name, frame))
+        return None
+
+    def _learn(self, message: model.KnownHosts) -> None:
+        if not self._mesh_is_full():
+            return
+        now = self.timer.monotonic()
+        for host in message.hosts:
+            self.membership.add(host, now=now)
+        self._update_dialers()
+
+    async def _run_handler(
+        self, handler: mesh.Handler, name: str, frame: model.Frame
+    ) -> None:
+        self._handling += 1
+        try:
+            reply = await handler(name, frame.message)
+        except Exception:
+            _LOG.exception("Handler of a message from %s failed", name)
+            self._count(type(frame.message).__name__, "handler_failed")
+            return
+        finally:
+            self._handling -= 1
+        # The peer may have reconnected while the handler ran.
+        connection = self.connections.get(name)
+        if reply is None or frame.message_id is None or connection is None:
+            return
+        try:
+            connection.put(codec.encode(reply, reply_to=frame.message_id))
+        except ValueError as error:
+            _LOG.error("Reply to %s not sent: %s", name, error)
+            self._count(type(reply).__name__, "too_large")
+
+    def _spawn(self, coroutine: Any) -> "asyncio.Task[Any]":
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._finished)
+        return task
+
+    def _finished(self, task: "asyncio.Task[Any]") -> None:
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        error = task.exception()
+        if not isinstance(error, _TRANSPORT_ERRORS):
+            _LOG.error("Peer task failed", exc_info=error)
+
+    def _count(self, kind: str, outcome: str) -> None:
+        if self.metrics is not None:
+            self.metrics.count_peer_message(kind, outcome)
+
+
+async def _receive(websocket: ws_connection.Connection, kind: type[_T]) -> _T:
+    data = await websocket.recv()
+    detail = "text frame"
+    if isinstance(data, bytes):
+        if len(data) > const.MAX_HANDSHAKE_BYTES:
+            raise _TurnedAwayError(
+                result_codes.Refusal(
+                    _Code.PEER_MESSAGE_TOO_LARGE, "in handshake"
+                )
+            )
+        match codec.decode(data):
+            case Success(model.Frame(message)) if isinstance(message, kind):
+                return message
+            case Failure(result_codes.Refusal() as refusal):
+                raise _TurnedAwayError(refusal)
+        detail = f"expected {kind.__name__}"
+    raise _TurnedAwayError(
+        result_codes.Refusal(_Code.PEER_UNAUTHENTICATED, detail)
+    )
+
+
+def _version_refusal(version: int) -> result_codes.Refusal:
+    return result_codes.Refusal(
+        _Code.PEER_VERSION_UNSUPPORTED,
+        f"version {version}, supported are {const.PROTOCOL_MIN} to "
+        f"{const.PROTOCOL_MAX}",
+    )
+
+
+def _refuse(
+    code: result_codes.ResultCode, detail: str
+) -> Result[Any, result_codes.Refusal]:
+    return Failure(result_codes.Refusal(code, detail))
--- a/src/samphirelug/components/peers/model.py
+++ b/src/samphirelug/components/peers/model.py
@@ -3,12 +3,52 @@
 Each is sent as a CBOR map with the class name in the field "type".
 """
 
+import enum
+from typing import Annotated
 from typing import NamedTuple
 
+import pydantic
+
 from samphirelug.components.catalogue import model as catalogue_model
 from samphirelug.components.quota import model as quota_model
 from samphirelug import core
 
+# Not a number would break every comparison of waits.
+WaitSeconds = Annotated[float, pydantic.Field(ge=0.0)]
+Sequence = Annotated[int, pydantic.Field(ge=0, lt=2**63)]
+
+
+class Challenge(NamedTuple):
+    """Open the server's side of a handshake on a new connection."""
+
+    protocol_min: int
+    protocol_max: int
+    host: str
+    nonce: str
+
+
+class Hello(NamedTuple):
+    """Answer a Challenge with a join token and a challenge in return."""
+
+    protocol: int
+    host: core.EntryHost
+    token: str
+    nonce: str
+
+
+class Welcome(NamedTuple):
+    """Accept a Hello and prove that the server knows the secret."""
+
+    protocol: int
+    host: core.EntryHost
+    token: str
+
+
+class KnownHosts(NamedTuple):
+    """Tell a peer of other hosts; sent only while the mesh is full."""
+
+    hosts: tuple[core.EntryHost, ...]
+
 
 class RegionHeadroom(NamedTuple):
     """Report units free and held for one service in one region."""
@@ -36,13 +76,13 @@
     host: core.EntryHost
     state: core.EntryHostState
     # Milliseconds since this incarnation started, on its own clock.
-    clock_ms: int
+    clock_ms: Sequence
     catalogue_revision: int
     headroom: tuple[RegionHeadroom, ...]
     # Requests queued, by Rank value.
     queued: tuple[int, int, int]
     # Seconds until a new request of the rank would find room, by Rank value.
-    wait_s: tuple[float, float, float]
+    wait_s: tuple[WaitSeconds, WaitSeconds, WaitSeconds]
     sightings: tuple[Sighting, ...]
 
 
@@ -137,8 +177,39 @@
     """Confirm a message that needs no other answer."""
 
 
+class ZoneSummary(NamedTuple):
+    """Report a zone beyond its borders; built by one of its watchers."""
+
+    zone: core.AvailabilityZone
+    # Watcher that built it, its incarnation and its count of summaries.
+    origin: str
+    incarnation: str
+    sequence: Sequence
+    lowest_revision: int
+    highest_revision: int
+    # Bounded to the first names in order; lagging_count has them all.
+    lagging: tuple[str, ...]
+    lagging_count: int
+    serving_count: int
+    # A few serving hosts of the zone, as they stood at the last change.
+    entry_hosts: tuple[Heartbeat, ...]
+
+
+class Relayed(NamedTuple):
+    """Carry what a watcher passes on in one tick."""
+
+    sightings: tuple[Sighting, ...]
+    summaries: tuple[ZoneSummary, ...]
+    highest_revision: int
+
+
 Message = (
-    Heartbeat
+    Challenge
+    | Hello
+    | Welcome
+    | KnownHosts
+    | Relayed
+    | Heartbeat
     | Sighting
     | CatalogueRequest
     | CatalogueReply
@@ -161,3 +232,23 @@
     # On this host's clock.
     heard_at_s: float
     connected: bool
+
+
+class MemberState(enum.StrEnum):
+    """Name what a host knows of another host."""
+
+    # Named by the host list, a setting or a peer, and not heard yet.
+    LISTED = "listed"
+    LIVE = "live"
+    # Heard before or dialled in vain, and not heard since.
+    SILENT = "silent"
+    LEAVING = "leaving"
+
+
+class Frame(NamedTuple):
+    """Hold a message with the ids that pair requests and replies."""
+
+    message: Message
+    # Set on a message that wants a reply.
+    message_id: int | None = None
+    reply_to: int | None = None
--- /dev/null
+++ b/tests/components/peers/test_io_mesh.py
@@ -0,0 +1,347 @@
+"""Test the websocket mesh over loopback."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import random
+import socket
+from typing import Any
+
+from returns.pipeline import is_successful
+from websockets.asyncio import client
+from websockets import exceptions
+
+from samphirelug.components.peers import auth
+from samphirelug.components.peers import codec
+from samphirelug.components.peers import const
+from samphirelug.components.peers import io_mesh
+from samphirelug.components.peers import model
+from samphirelug import core
+from samphirelug.helpers import timer
+from samphirelug import result_codes
+from tests import builders
+
+SECRET = "s" * 32
+
+
+class Cluster:
+    """Start meshes on loopback and stop them all."""
+
+    def __init__(self) -> None:
+        self.timer = timer.LoopTimerService()
+        self.meshes: list[io_mesh.WebsocketMesh] = []
+
+    async def add(
+        self,
+        name: str,
+        *,
+        seeds: tuple[str, ...] = (),
+        secret: str = SECRET,
+        incarnation: str | None = None,
+        port: int = 0,
+        **changes: Any,
+    ) -> io_mesh.WebsocketMesh:
+        """Start a mesh that listens on a free port."""
+        sock = socket.create_server(("127.0.0.1", port))
+        host = builders.make_host(name)._replace(
+            incarnation=incarnation or f"{name}-1",
+            peer_url=f"ws://127.0.0.1:{sock.getsockname()[1]}/",
+        )
+        beat = make_heartbeat(host)._replace(**changes)
+        peer = io_mesh.WebsocketMesh(
+            host=host,
+            secret=secret,
+            cluster="test",
+            seeds=seeds,
+            timer=self.timer,
+            heartbeat=lambda: beat,
+            rng=random.Random(name),
+            sock=sock,
+        )
+        self.meshes.append(peer)
+        await peer.start()
+        return peer
+
+    async def stop(self) -> None:
+        """Stop all meshes."""
+        for peer in self.meshes:
+            await peer.stop()
+
+
+def make_heartbeat(host: core.EntryHost) -> model.Heartbeat:
+    """Return a heartbeat of an idle host."""
+    return model.Heartbeat(
+        host=host,
+        state=core.EntryHostState.SERVING,
+        clock_ms=1,
+        catalogue_revision=7,
+        headroom=(),
+        queued=(0, 0, 0),
+        wait_s=(0.0, 0.0, 0.0),
+        sightings=(),
+    )
+
+
+async def until(condition: Callable[[], bool], limit_s: float = 8.0) -> None:
+    """Wait until the condition holds; fail after limit_s."""
+    async with asyncio.timeout(limit_s):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+
+
+def run(test: Callable[[Cluster], Awaitable[None]]) -> None:
+    """Run a test and stop its meshes afterwards."""
+
+    async def wrapped() -> None:
+        cluster = Cluster()
+        try:
+            await test(cluster)
+        finally:
+            await cluster.stop()
+
+    asyncio.run(wrapped())
+
+
+async def join(
+    peer: io_mesh.WebsocketMesh, token_of: Callable[[model.Challenge], str]
+) -> exceptions.ConnectionClosed | None:
+    """Send a Hello with the token; return how the connection closed."""
+    name = "stranger"
+    host = builders.make_host(name)
+    async with client.connect(
+        peer.host.peer_url, compression=None, proxy=None
+    ) as websocket:
+        data = await websocket.recv()
+        assert isinstance(data, bytes)
+        challenge = codec.decode(data).unwrap()
+        assert isinstance(challenge, model.Frame)
+        assert isinstance(challenge.message, model.Challenge)
+        token = token_of(challenge.message)
+        await websocket.send(
+            codec.encode(model.Hello(1, host, token, "nonce"))
+        )
+        try:
+            await websocket.recv()
+        except exceptions.ConnectionClosed as closed:
+            return closed
+    return None
+
+
+def test_one_seed_gives_a_full_mesh_with_one_connection_per_pair() -> None:
+    """Guards against hosts that never meet and against double links."""
+
+    async def test(cluster: Cluster) -> None:
+        first = await cluster.add("eh1")
+        seeds = (first.host.peer_url,)
+        for name in ("eh2", "eh3", "eh4"):
+            await cluster.add(name, seeds=seeds)
+        await until(
+            lambda: all(len(m.live_peers()) == 3 for m in cluster.meshes)
+        )
+        await asyncio.sleep(1.0)
+        for peer in cluster.meshes:
+            assert len(peer.connections) == 3
+            assert peer._server is not None
+            dialled = sum(c.dialled for c in peer.connections.values())
+            # Also finds connections that were left open but not used.
+            assert len(peer._server.connections) == 3 - dialled
+
+    run(test)
+
+
+def test_both_ends_dial_at_once() -> None:
+    """Guards against both ends closing the connection the other keeps."""
+
+    async def test(cluster: Cluster) -> None:
+        one, two = [await cluster.add(name) for name in ("eh1", "eh2")]
+        for _ in range(5):
+            dials = [
+                asyncio.create_task(one._dial(two.host.peer_url, "eh2")),
+                asyncio.create_task(two._dial(one.host.peer_url, "eh1")),
+            ]
+            await until(
+                lambda: len(one.connections) == len(two.connections) == 1
+            )
+            await asyncio.sleep(0.2)
+            assert one.connections["eh2"].dialled
+            assert not two.connections["eh1"].dialled
+            one._drop(one.connections["eh2"], 1000, "next round")
+            await asyncio.gather(*dials)
+            await until(lambda: not one.connections and not two.connections)
+
+    run(test)
+
+
+def test_request_reply_and_timeout() -> None:
+    """Guards against replies to the wrong request and lost time-outs."""
+
+    async def test(cluster: Cluster) -> None:
+        one = await cluster.add("eh1")
+        two = await cluster.add("eh2", seeds=(one.host.peer_url,))
+
+        async def answer(
+            name: str, message: model.Message
+        ) -> model.Message | None:
+            assert name == "eh1"
+            assert isinstance(message, model.CatalogueRequest)
+            if message.since == 0:
+                return None
+            await asyncio.sleep(0.02 / message.since)
+            return model.GrantReturn("l", message.since)
+
+        two.set_handler(model.CatalogueRequest, answer)
+        await until(lambda: "eh2" in one.connections)
+        results = await asyncio.gather(
+            *(
+                one.request("eh2", model.CatalogueRequest(n), timeout_s=1.0)
+                for n in range(1, 20)
+            )
+        )
+        assert [r.unwrap() for r in results] == [
+            model.GrantReturn("l", n) for n in range(1, 20)
+        ]
+        silent = await one.request(
+            "eh2", model.CatalogueRequest(0), timeout_s=0.1
+        )
+        assert (
+            silent.failure().code is result_codes.ResultCode.PEER_UNREACHABLE
+        )
+        unknown = await one.request(
+            "eh9", model.CatalogueRequest(0), timeout_s=0.1
+        )
+        assert not is_successful(unknown)
+        assert not one._pending
+
+    run(test)
+
+
+def test_strangers_and_replays_are_turned_away_with_the_code() -> None:
+    """Guards against joining with a wrong, replayed or misdirected token."""
+
+    async def test(cluster: Cluster) -> None:
+        peer = await cluster.add("eh1")
+        wrong = await cluster.add(
+            "eh2", seeds=(peer.host.peer_url,), secret="other" * 8
+        )
+        host = builders.make_host("stranger")
+
+        def sign(
+            nonce: str, *, audience: str = "eh1", cluster_name: str = "test"
+        ) -> str:
+            return auth.JoinAuthenticator(
+                secret=SECRET,
+                cluster=cluster_name,
+                host=host,
+                timer=cluster.timer,
+            ).sign(audience=audience, nonce=nonce, role="client")
+
+        kept: list[str] = []
+
+        def good(challenge: model.Challenge) -> str:
+            kept.append(sign(challenge.nonce))
+            return kept[0]
+
+        assert await join(peer, good) is None
+        for token_of in (
+            lambda c: sign(c.nonce, cluster_name="other"),
+            lambda c: sign(c.nonce, audience="eh3"),
+            lambda _: kept[0],
+            lambda _: "nonsense",
+        ):
+            closed = await join(peer, token_of)
+            assert closed is not None
+            assert closed.rcvd is not None
+            assert closed.rcvd.code == 4001
+        await until(lambda: "stranger" not in peer.connections)
+        assert not peer.connections
+        assert not wrong.connections
+
+    run(test)
+
+
+def test_invalid_message_closes_the_connection_and_peers_reconnect() -> None:
+    """Guards against acting on messages that do not fit the schema."""
+
+    async def test(cluster: Cluster) -> None:
+        one = await cluster.add("eh1")
+        two = await cluster.add("eh2", seeds=(one.host.peer_url,))
+        await until(lambda: len(one.live_peers()) == 1)
+        old = one.connections["eh2"]
+        unknown = codec.encode(model.GrantReturn("l", 1)).replace(
+            b"GrantReturn", b"GrantFuture"
+        )
+        two.connections["eh1"].put(unknown)
+        await asyncio.sleep(0.2)
+        assert one.connections["eh2"] is old
+        other = make_heartbeat(builders.make_host("eh3"))
+        two.connections["eh1"].put(codec.encode(other))
+        await until(lambda: one.connections.get("eh2") not in (None, old))
+        assert old.websocket.close_code == 4003
+        assert "eh3" not in one.membership.members
+
+    run(test)
+
+
+def test_restart_under_the_same_name_replaces_the_old_incarnation() -> None:
+    """Guards against heartbeats and joins of a superseded process."""
+
+    async def test(cluster: Cluster) -> None:
+        one = await cluster.add("eh1")
+        seeds = (one.host.peer_url,)
+        old = await cluster.add("eh2", seeds=seeds)
+        await until(lambda: len(one.live_peers()) == 1)
+        superseded: list[str] = []
+        old.on_superseded.append(lambda: superseded.append("eh2"))
+        await cluster.add("eh2", seeds=seeds, incarnation="eh2-2")
+        await until(lambda: bool(superseded))
+        await asyncio.sleep(0.5)
+        (view,) = one.live_peers()
+        assert view.heartbeat.host.incarnation == "eh2-2"
+
+    run(test)
+
+
+def test_a_stalled_peer_does_not_block_or_grow_the_sender() -> None:
+    """Guards against unbounded memory for a peer that reads nothing."""
+
+    async def test(cluster: Cluster) -> None:
+        one = await cluster.add("eh1")
+        two = await cluster.add("eh2", seeds=(one.host.peer_url,))
+        await until(lambda: "eh2" in one.connections)
+        two.connections["eh1"].websocket.transport.pause_reading()
+        record = model.OutcomeRecord("t", 0, "x" * 100_000, None, 1)
+        started_s = cluster.timer.monotonic()
+        for _ in range(300):
+            one.send("eh2", model.OutcomeReply(record))
+            one.heartbeat_now()
+            if not _ % 20:
+                await asyncio.sleep(0)
+        queue = one.connections["eh2"].queue
+        assert cluster.timer.monotonic() - started_s < 5.0
+        assert queue.bytes <= const.SEND_QUEUE_BYTES
+        assert queue.dropped_frames > 0
+
+    run(test)
+
+
+def test_a_known_host_is_dialled_for_a_request() -> None:
+    """Guards against outcome queries that fail beyond the topology."""
+
+    async def test(cluster: Cluster) -> None:
+        one = await cluster.add("eh1")
+        two = await cluster.add("eh2")
+        listed = [builders.make_host(f"h{n}") for n in range(20)]
+        one.set_known_hosts([*listed, two.host])
+
+        async def answer(
+            _name: str, _message: model.Message
+        ) -> model.Message | None:
+            return model.Acknowledgement()
+
+        two.set_handler(model.CatalogueRequest, answer)
+        result = await one.request(
+            "eh2", model.CatalogueRequest(1), timeout_s=2.0
+        )
+        assert result.unwrap() == model.Acknowledgement()
+
+    run(test)
