Add quota limits and the ledger of units in use

Cause: admission and steering need keys, bundles and an account of units. Ruled out: one timer per lingering unit (a heap with one armed timer is enough); checking the seat's lease in a timer (a paused process would dispatch before the timer runs, so it is checked in try_hold itself). Change: limits.py derives keys, groups and bundles from the catalogue. ledger.py holds, releases, lends and settles units. lend() takes until_s as the end of the borrower's dispatches and adds the longest hold itself. Bundles of a loan are numbered from 1, enforced by lend(). Before: nothing.

--- /dev/null
+++ b/src/samphirelug/components/quota/const.py
@@ -0,0 +1,14 @@
+"""Hold the times that loans and holds of quota units last."""
+
+from samphirelug import const
+
+# A borrower may dispatch under a loan for this long.
+LOAN_S = 2.0
+# The borrower stops earlier by this fraction, since its clock may run slower
+# than the lender's.
+CLOCK_DRIFT = 0.01
+# A request dispatched now may occupy its units for this long, without the
+# linger time of the key.
+REQUEST_HOLD_S = const.MAX_REQUEST_S + const.ORPHAN_MARGIN_S
+# Reserved link bytes count for this long, the window of bytes_per_s.
+LINK_LINGER_S = 1.0
--- /dev/null
+++ b/tests/components/quota/test_ledger.py
@@ -0,0 +1,255 @@
+"""Check that the ledger never gives out more than its allotment."""
+
+import time
+
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis import strategies as st
+import pytest
+from returns.result import Failure
+from returns.result import Success
+
+from samphirelug.components.quota import ledger as quota_ledger
+from samphirelug.components.quota import model
+from samphirelug.helpers import timer as timer_helper
+
+GROUP = "region/r"
+KEYS = ("region:r", "shift:r")
+LINGER_S = {"region:r": 0.0, "shift:r": 5.0}
+
+
+def make_limits(limit: int) -> dict[str, model.QuotaLimit]:
+    return {
+        key: model.QuotaLimit(key, GROUP, limit, LINGER_S[key]) for key in KEYS
+    }
+
+
+def make_bundle(*amounts: int) -> model.Bundle:
+    units = zip(KEYS, amounts, strict=False)
+    return model.Bundle(
+        "r", "s", tuple(model.UnitAmount(*unit) for unit in units)
+    )
+
+
+def make_ledger(
+    *, units: int = 4, valid_until_s: float = 900.0
+) -> tuple[quota_ledger.QuotaLedger, timer_helper.ManualTimerService]:
+    timer = timer_helper.ManualTimerService()
+    ledger = quota_ledger.QuotaLedger(timer=timer)
+    ledger.set_limits(make_limits(8))
+    ledger.set_seat(
+        group=GROUP,
+        units=dict.fromkeys(KEYS, units),
+        limits=dict.fromkeys(KEYS, 8),
+        valid_until_s=valid_until_s,
+    )
+    return ledger, timer
+
+
+def test_nothing_is_dispatched_under_a_lapsed_seat() -> None:
+    """Others may use the units of a lapsed seat."""
+    ledger, timer = make_ledger(valid_until_s=10.0)
+    assert isinstance(ledger.try_hold(make_bundle(1)), Success)
+    timer.advance(10.0)
+    assert ledger.try_hold(make_bundle(1)) == Failure("region:r")
+    assert ledger.usable("region:r") == 0
+    assert ledger.floor("region:r") == 1
+
+
+def test_loan_does_not_outlast_the_seat() -> None:
+    """A borrower may dispatch until the end of its loan."""
+    ledger, timer = make_ledger(valid_until_s=10.0)
+    timer.advance(9.0)
+    lent = ledger.lend(
+        make_bundle(1), loan_id="l", bundle_number=1, until_s=11.0
+    )
+    assert not lent
+
+
+def test_lost_loan_costs_the_longest_hold() -> None:
+    """A borrower's request may run until its deadline plus the margin."""
+    ledger, timer = make_ledger()
+    assert ledger.lend(
+        make_bundle(4, 4), loan_id="l", bundle_number=1, until_s=2.0
+    )
+    timer.advance(2.0 + 30.5 + 4.9)
+    assert ledger.free("region:r") == 0
+    timer.advance(0.2)
+    assert ledger.free("region:r") == 4
+    ledger.settle("l", 1)
+    assert ledger.floor("region:r") == 0
+
+
+def test_settling_is_idempotent_and_starts_the_linger_time() -> None:
+    """A repeated return must not free units twice."""
+    ledger, timer = make_ledger()
+    for number in (1, 2):
+        assert ledger.lend(
+            make_bundle(1, 1), loan_id="l", bundle_number=number, until_s=2.0
+        )
+    ledger.settle("l", 1)
+    ledger.settle("l", 1)
+    assert ledger.floor("region:r") == 1
+    assert ledger.floor("shift:r") == 2
+    timer.advance(5.0)
+    assert ledger.floor("shift:r") == 1
+
+
+def test_bundle_numbers_start_at_one() -> None:
+    """Lender and borrower must count alike, or settle the wrong bundle."""
+    ledger, _ = make_ledger()
+    with pytest.raises(ValueError, match="bundle number"):
+        ledger.lend(make_bundle(1), loan_id="l", bundle_number=0, until_s=2.0)
+
+
+def test_lowered_limit_scales_the_units_without_the_store() -> None:
+    """The new limit must hold on each host before its next renewal."""
+    ledger, _ = make_ledger()
+    held = [ledger.try_hold(make_bundle(1)).unwrap() for _ in range(4)]
+    ledger.set_limits(make_limits(3))
+    assert ledger.usable("region:r") == 4 * 3 // 8
+    ledger.release(held[0])
+    ledger.release(held[1])
+    ledger.release(held[2])
+    assert ledger.try_hold(make_bundle(1)) == Failure("region:r")
+    ledger.release(held[3])
+    assert isinstance(ledger.try_hold(make_bundle(1)), Success)
+
+
+def test_freed_units_are_announced() -> None:
+    """Queued work waits for the call and would starve without it."""
+    ledger, timer = make_ledger()
+    calls: list[float] = []
+    ledger.on_free.append(lambda: calls.append(timer.monotonic()))
+    hold = ledger.try_hold(make_bundle(1, 1)).unwrap()
+    ledger.release(hold)
+    timer.advance(6.0)
+    assert calls == [0.0, 5.0]
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    """Compare the ledger with a list of every use and its end."""
+
+    @initialize()
+    def start(self) -> None:
+        self.ledger, self.timer = make_ledger(units=5, valid_until_s=100.0)
+        self.allowed = 5
+        self.valid_until_s = 100.0
+        # Hold id to units; units with the time when they come free.
+        self.holds: dict[int, list[int]] = {}
+        self.loans: dict[int, tuple[list[int], float]] = {}
+        self.ending: list[tuple[float, str, int]] = []
+        self.next_loan = 1
+
+    def in_use(self, key: str) -> int:
+        now = self.timer.monotonic()
+        place = KEYS.index(key)
+        return (
+            sum(units[place] for units in self.holds.values())
+            + sum(
+                units[place]
+                for units, end in self.loans.values()
+                if end + 5.0 > now
+            )
+            + sum(
+                amount
+                for when, other, amount in self.ending
+                if other == key and when > now
+            )
+        )
+
+    def fits(self, amounts: list[int], at_s: float) -> bool:
+        return at_s < self.valid_until_s and all(
+            amount == 0 or self.in_use(key) + amount <= self.allowed
+            for key, amount in zip(KEYS, amounts, strict=True)
+        )
+
+    def end(self, units: list[int], when_s: float) -> None:
+        for key, amount in zip(KEYS, units, strict=True):
+            self.ending.append((when_s + LINGER_S[key], key, amount))
+
+    @rule(amounts=st.lists(st.integers(1, 3), min_size=2, max_size=2))
+    def hold(self, amounts: list[int]) -> None:
+        fits = self.fits(amounts, self.timer.monotonic())
+        result = self.ledger.try_hold(make_bundle(*amounts))
+        assert isinstance(result, Success) == fits
+        if isinstance(result, Success):
+            self.holds[result.unwrap()] = amounts
+
+    @rule(pick=st.randoms(use_true_random=False), delay=st.integers(0, 9))
+    def release(self, pick: object, delay: int) -> None:
+        if not self.holds:
+            return
+        hold_id = pick.choice(sorted(self.holds))  # type: ignore[attr-defined]
+        when_s = self.timer.monotonic() + delay
+        self.ledger.release_at(hold_id, when_s)
+        self.ledger.release_at(hold_id, when_s)
+        self.end(self.holds.pop(hold_id), when_s)
+
+    @rule(amounts=st.lists(st.integers(1, 3), min_size=2, max_size=2))
+    def lend(self, amounts: list[int]) -> None:
+        until_s = self.timer.monotonic() + 2.0
+        fits = self.fits(amounts, until_s)
+        lent = self.ledger.lend(
+            make_bundle(*amounts),
+            loan_id="l",
+            bundle_number=self.next_loan,
+            until_s=until_s,
+        )
+        assert lent == fits
+        if lent:
+            self.loans[self.next_loan] = (amounts, until_s + 30.5)
+            self.next_loan += 1
+
+    @rule(number=st.integers(1, 6))
+    def settle(self, number: int) -> None:
+        self.ledger.settle("l", number)
+        units, end = self.loans.pop(number, ([0, 0], 0.0))
+        if end + 5.0 > self.timer.monotonic():
+            self.end(units, self.timer.monotonic())
+
+    @rule(limit=st.integers(1, 12))
+    def change_limit(self, limit: int) -> None:
+        self.ledger.set_limits(make_limits(limit))
+        self.allowed = 5 * min(limit, 8) // 8
+
+    @rule(delta_s=st.integers(1, 40))
+    def advance(self, delta_s: int) -> None:
+        self.timer.advance(float(delta_s))
+
+    @rule()
+    def renew(self) -> None:
+        self.valid_until_s = self.timer.monotonic() + 100.0
+        self.ledger.set_limits(make_limits(8))
+        self.ledger.set_seat(
+            group=GROUP,
+            units=dict.fromkeys(KEYS, 5),
+            limits=dict.fromkeys(KEYS, 8),
+            valid_until_s=self.valid_until_s,
+        )
+        self.allowed = 5
+
+    @invariant()
+    def counts_agree(self) -> None:
+        for key in KEYS:
+            assert self.ledger.floor(key) == self.in_use(key)
+
+
+TestLedgerMachine = LedgerMachine.TestCase
+
+
+def test_hold_and_release_are_fast() -> None:
+    """Every request pays for this on the one event loop."""
+    ledger, _ = make_ledger()
+    bundle = make_bundle(1)
+    best_s = min(_timed(ledger, bundle) for _ in range(5))
+    assert best_s < 50e-6
+
+
+def _timed(ledger: quota_ledger.QuotaLedger, bundle: model.Bundle) -> float:
+    start_s = time.perf_counter()
+    for _ in range(2000):
+        ledger.release(ledger.try_hold(bundle).unwrap())
+    return (time.perf_counter() - start_s) / 2000
--- /dev/null
+++ b/tests/components/quota/test_limits.py
@@ -0,0 +1,62 @@
+"""Check the keys and bundles derived from a catalogue."""
+
+from samphirelug.components.quota import limits
+from samphirelug.components.quota import model
+from tests import builders
+
+
+def test_every_key_of_a_bundle_has_a_limit_in_its_group() -> None:
+    """A key without a limit would refuse every request that needs it."""
+    view = builders.make_view()
+    known = limits.quota_limits(view)
+    server = view.servers["filing-tartu-a-0"]
+    bundle = limits.bundle_for(
+        view=view,
+        work=view.works["case-status"],
+        server=server,
+        host_region="tallinn",
+        home_region="parnu",
+        body_bytes=70,
+    )
+    assert set(bundle.units) == {
+        ("region:tartu", 1),
+        ("server:filing-tartu-a-0", 1),
+        ("work:case-status@tartu", 1),
+        ("shift:tartu", 1),
+        ("link:tallinn>tartu", 70),
+        ("link:tartu>tallinn", 65536),
+    }
+    groups = {known[unit.key].group for unit in bundle.units}
+    assert groups == {"region/tartu", "link/tallinn+tartu"}
+    assert known["shift:tartu"] == model.QuotaLimit(
+        "shift:tartu", "region/tartu", 10, 5.0
+    )
+    assert known["link:tartu>tallinn"].linger_s == 1.0
+
+
+def test_local_request_needs_no_shift_or_link_units() -> None:
+    """A local request must not use up the cap on shifted traffic."""
+    view = builders.make_view()
+    bundle = limits.bundle_for(
+        view=view,
+        work=view.works["case-status"],
+        server=view.servers["filing-tallinn-a-0"],
+        host_region="tallinn",
+        home_region="tallinn",
+        body_bytes=70,
+    )
+    assert {unit.key.partition(":")[0] for unit in bundle.units} == {
+        "region",
+        "server",
+        "work",
+    }
+
+
+def test_hosts_take_part_in_their_region_and_its_links() -> None:
+    """A host outside a link's group could not send over the link."""
+    assert limits.groups_of(builders.make_view(), "parnu") == (
+        "region/parnu",
+        "link/parnu+tallinn",
+        "link/parnu+tartu",
+    )
+    assert limits.regions_of_group("link/a+b") == ("a", "b")
