Wire host list, probes, hand-over and keep-alive accounting

Change: an exchange counts from its header block; connections that wait to be accepted are taken before a listener closes; the host list, prober and hand-over are wired to the parts as built.

--- a/src/samphirelug/__main__.py
+++ b/src/samphirelug/__main__.py
@@ -4,6 +4,8 @@
 
 import typer
 
+from samphirelug.components.commands import entry_host
+
 app = typer.Typer(
     name="samphirelug",
     help="Steer traffic across regions, driven by a catalogue.",
@@ -12,6 +14,9 @@
 )
 
 
+app.add_typer(entry_host.app, name="entry-host")
+
+
 @app.callback()
 def _root() -> None:
     """Steer traffic across regions, driven by a catalogue."""
--- a/src/samphirelug/components/gateway/exchange.py
+++ b/src/samphirelug/components/gateway/exchange.py
@@ -34,7 +34,7 @@
         self.service = service
         self.rank = rank
         self.connection = connection
-        self.started_at_s = service.timer.monotonic()
+        self.started_at_s = 0.0
         self.request_id = "-"
         self.work = "-"
         self.draft: service_module.Draft | None = None
@@ -42,9 +42,11 @@
         self.pairs: list[tuple[str, str]] = []
         self.chunks: list[bytes] = []
         self.received_bytes = 0
+        # From header block to answer. A keep-alive connection has an idle
+        # exchange that waits for the next header block.
+        self.in_flight = False
         self.answered = False
         self.task: asyncio.Task[None] | None = None
-        service.in_flight += 1
 
     def headers_received(
         self,
@@ -53,6 +55,9 @@
     ) -> None:
         """Refuse or prepare the request before its body is read."""
         assert isinstance(start_line, httputil.RequestStartLine)
+        self.started_at_s = self.service.timer.monotonic()
+        self.in_flight = True
+        self.service.in_flight += 1
         self.request_id = headers.get(const.HEADER_REQUEST_ID) or "-"
         parsed = parsing.parse_route(start_line.method, start_line.path)
         if isinstance(parsed, Failure):
@@ -192,8 +197,9 @@
         self.connection.finish()
 
     def _end(self) -> None:
-        if not self.answered:
-            self.answered = True
+        self.answered = True
+        if self.in_flight:
+            self.in_flight = False
             self.service.in_flight -= 1
 
     def _buffer(self, size: int) -> None:
--- a/src/samphirelug/components/gateway/io_server.py
+++ b/src/samphirelug/components/gateway/io_server.py
@@ -73,6 +73,8 @@
         """Close the listening sockets; open connections go on."""
         loop = asyncio.get_running_loop()
         for listening in self.sockets:
+            # Connections that wait to be accepted would be reset.
+            self._accept(listening, batch=gateway_const.LISTEN_BACKLOG)
             loop.remove_reader(listening)
             listening.close()
         self.sockets = []
@@ -81,8 +83,10 @@
         """Close the connections that are still open."""
         await self.server.close_all_connections()
 
-    def _accept(self, listening: socket.socket) -> None:
-        for _ in range(gateway_const.ACCEPT_BATCH[self.rank]):
+    def _accept(
+        self, listening: socket.socket, *, batch: int | None = None
+    ) -> None:
+        for _ in range(batch or gateway_const.ACCEPT_BATCH[self.rank]):
             try:
                 connection, address = listening.accept()
             except OSError:
--- a/src/samphirelug/components/gateway/service.py
+++ b/src/samphirelug/components/gateway/service.py
@@ -17,6 +17,7 @@
 from samphirelug.components.gateway import parsing
 from samphirelug.components.metrics import registry
 from samphirelug.components.steering import lookup
+from samphirelug.components.steering import model as steering_model
 from samphirelug import const
 from samphirelug import core
 from samphirelug.helpers import loop_lag
@@ -76,12 +77,9 @@
         fields: Mapping[str, str],
     ) -> Result[Draft, result_codes.Refusal]:
         """Admit or refuse a request to run by its header block alone."""
-        overload = self._overload(rank)
-        if overload is not None:
-            return Failure(overload)
-        refusal = self.refusing()
-        if refusal is not None:
-            return Failure(refusal)
+        busy = self._overload(rank) or self.refusing()
+        if busy is not None and not self._is_repeat(fields):
+            return Failure(busy)
         parsed = parsing.parse_headers(fields)
         if isinstance(parsed, Failure):
             return parsed
@@ -122,7 +120,7 @@
             headers.deadline_s or work["deadline_s"], work["deadline_s"]
         )
         wait_s = self.admission.wait_s(rank)
-        if wait_s >= deadline_s:
+        if wait_s >= deadline_s and not self._is_repeat(fields):
             return Failure(
                 result_codes.Refusal(
                     result_codes.ResultCode.DEADLINE_UNREACHABLE,
@@ -172,7 +170,7 @@
 
     def look_up(
         self, route: model.LookupRoute
-    ) -> Result[lookup.LookupAnswer, result_codes.Refusal]:
+    ) -> Result[steering_model.LookupAnswer, result_codes.Refusal]:
         """Name the entry hosts for a work entry near a place."""
         if not self.catalogue.position:
             return Failure(
@@ -195,10 +193,19 @@
             gateway_const.DEFAULT_RETRY_AFTER_S,
         )
 
+    def _is_repeat(self, fields: Mapping[str, str]) -> bool:
+        """Return whether the request's run token may have been used.
+
+        A refusal would say "not run", which may then be untrue.
+        """
+        token = fields.get(const.HEADER_RUN_TOKEN)
+        return token is not None and not self.executor.is_unused(token)
+
     def _home_region(self, headers: model.RunHeaders) -> str:
         if headers.run_token is not None:
             token = self.issuer.read(headers.run_token)
             if isinstance(token, Success):
-                return token.unwrap().home_region
-        named = self.catalogue.view.region_of(headers.home_region or "")
-        return named or self.host.zone.region
+                home: str = token.unwrap().home_region
+                return home
+        named = headers.home_region or ""
+        return self.catalogue.view.region_of(named) or self.host.zone.region
--- a/src/samphirelug/entry_host.py
+++ b/src/samphirelug/entry_host.py
@@ -7,6 +7,8 @@
 import secrets
 import signal
 
+from tornado import netutil
+
 from samphirelug.components.admission import controller
 from samphirelug.components.backend import io_client
 from samphirelug.components.backend import prober
@@ -22,13 +24,16 @@
 from samphirelug.components.peers import hosts
 from samphirelug.components.peers import io_mesh
 from samphirelug.components.peers import model as peers_model
+from samphirelug.components.peers import topology
 from samphirelug.components.quota import ledger
 from samphirelug.components.quota import limits
 from samphirelug.components.quota import loans
+from samphirelug.components.quota import model as quota_model
 from samphirelug.components.quota import seat_keeper
 from samphirelug.components.steering import health
 from samphirelug.components.steering import lookup
 from samphirelug.components.steering import planner
+from samphirelug.components.store import budget
 from samphirelug.components.store import io_http_store
 from samphirelug import const
 from samphirelug import core
@@ -41,7 +46,6 @@
 LOGGER = logging.getLogger(__name__)
 # Time added to LOOKUP_KEEP_S for look-up answers still on their way.
 LEAVING_MARGIN_S = 1.0
-HANDOVER_TIMEOUT_S = 2.0
 # Upper bound of the last steps of a planned stop.
 STOP_MARGIN_S = 5.0
 IN_FLIGHT_POLL_S = 0.05
@@ -80,6 +84,10 @@
                     port=settings.caller_ports[rank],
                 )
             )
+        self.peer_socket = netutil.bind_sockets(
+            settings.peer_port, settings.listen_address
+        )[0]
+        peer_port = self.peer_socket.getsockname()[1]
         urls = [
             f"http://{settings.advertise_address}:{listener.port}"
             for listener in self.listeners
@@ -91,14 +99,16 @@
                 settings.availability_zone, settings.region
             ),
             caller_urls=(urls[0], urls[1], urls[2]),
-            peer_url=f"ws://{settings.advertise_address}:{settings.peer_port}",
+            peer_url=f"ws://{settings.advertise_address}:{peer_port}",
         )
 
     def _build_state(self) -> None:
         """Build the parts that hold shared state."""
         settings = self.settings
         self.store = io_http_store.HttpObjectStore(
-            url=settings.store_url, timer=self.timer, metrics=self.metrics
+            base_url=settings.store_url,
+            budget=budget.CallBudget(timer=self.timer),
+            metrics=self.metrics,
         )
         self.mesh = io_mesh.WebsocketMesh(
             host=self.host,
@@ -109,8 +119,7 @@
             heartbeat=self.heartbeat,
             metrics=self.metrics,
             rng=self.rng,
-            listen_address=settings.listen_address,
-            listen_port=settings.peer_port,
+            sock=self.peer_socket,
         )
         self.catalogue = catalogue_state.CatalogueState(
             on_change=self._on_catalogue
@@ -132,7 +141,7 @@
             host=self.host,
             catalogue=self.catalogue,
             hosts_of=self.hosts_of,
-            settings=seat_keeper.SeatSettings(
+            settings=quota_model.SeatSettings(
                 lease_s=settings.seat_lease_s,
                 renew_s=settings.seat_lease_s / 3,
             ),
@@ -210,29 +219,33 @@
         )
         self.host_list = hosts.HostList(
             store=self.store,
-            mesh=self.mesh,
             timer=self.timer,
             rng=self.rng,
             host=self.host,
+            is_watcher=self.is_watcher,
+            region_of=self.region_of_zone,
+            on_entry_hosts=self.mesh.set_known_hosts,
+            on_servers=self._on_listed_servers,
         )
-        self.prober = prober.Prober(
+        self.prober = prober.HealthProber(
             catalogue=self.catalogue,
-            client=self.backend,
+            backend=self.backend,
             health=self.health,
             timer=self.timer,
             rng=self.rng,
+            servers=self.probed_servers,
             interval_s=self.settings.probe_interval_s,
         )
         self._connect_parts()
 
     def _connect_parts(self) -> None:
         self.health.on_sighting.append(self.mesh.broadcast)
+        self.mesh.on_superseded.append(self.stop_requested.set)
         self.mesh.set_handler(peers_model.Sighting, self._on_sighting)
         self.mesh.set_handler(peers_model.GrantRequest, self._on_grant_request)
         self.mesh.set_handler(peers_model.UnitRequest, self._on_unit_request)
-        self.mesh.set_handler(peers_model.GrantReturn, self._on_grant_return)
         self.mesh.set_handler(
-            peers_model.OutcomeHandover, self._on_outcome_handover
+            peers_model.GrantReturn, loans.make_return_handler(self.ledger)
         )
 
     def heartbeat(self) -> peers_model.Heartbeat:
@@ -262,6 +275,29 @@
         # A region without entry hosts of its own is served by all others.
         return frozenset(host.name for host in near or known)
 
+    def is_watcher(self) -> bool:
+        """Return whether this host watches the store for its zone."""
+        members = [
+            peer.heartbeat.host.name
+            for peer in self.mesh.live_peers()
+            if peer.heartbeat.host.zone.name == self.host.zone.name
+        ]
+        return topology.is_watcher(self.host, members)
+
+    def region_of_zone(self, zone: str) -> str | None:
+        """Return the region of an availability zone of the catalogue."""
+        found = self.catalogue.view.zones.get(zone)
+        return found.region if found else None
+
+    def probed_servers(self) -> list[core.BackendServer]:
+        """Return the servers that this host may hold slots of."""
+        region = self.host.zone.region
+        return [
+            server
+            for server in self.catalogue.view.servers.values()
+            if server.zone.region == region
+        ]
+
     def refusing(self) -> result_codes.Refusal | None:
         """Return why new work is refused at this entry host, if it is."""
         if self.refusing_new_work:
@@ -301,7 +337,7 @@
         self._spawn(self.sync.run())
         self._spawn(self.host_list.run())
         self._spawn(self.seats.run())
-        self._spawn(self.prober.run())
+        self.prober.start()
         self._spawn(self._become_serving())
         await self.stop_requested.wait()
         await self._stop()
@@ -331,10 +367,11 @@
             await self.timer.sleep(keep_s)
         self.refusing_new_work = True
         await self._wait_in_flight()
-        await self._hand_over_outcomes()
+        await self.executor.hand_over()
         for listener in self.listeners:
             listener.stop_accepting()
         await self.seats.give_up()
+        self.prober.stop()
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -354,23 +391,6 @@
                 self.service.in_flight,
             )
 
-    async def _hand_over_outcomes(self) -> None:
-        """Give the outcomes to all live peers, so that each can answer."""
-        records = self.outcomes.records()
-        handover = peers_model.OutcomeHandover(
-            incarnation=self.host.incarnation,
-            records=records,
-            complete=True,
-            ttl_ms=int(2 * const.TOKEN_TTL_S * 1000),
-        )
-        peers = [peer.heartbeat.host.name for peer in self.mesh.live_peers()]
-        await asyncio.gather(
-            *(
-                self.mesh.request(name, handover, timeout_s=HANDOVER_TIMEOUT_S)
-                for name in peers
-            )
-        )
-
     async def _on_sighting(
         self, sender: str, message: peers_model.Message
     ) -> None:
@@ -390,22 +410,22 @@
         assert isinstance(message, peers_model.UnitRequest)
         return self.admission.grant_units(message, borrower=sender)
 
-    async def _on_grant_return(
-        self, sender: str, message: peers_model.Message
+    def _on_listed_servers(
+        self, states: tuple[hosts.ServerState, ...]
     ) -> None:
-        del sender
-        assert isinstance(message, peers_model.GrantReturn)
-        self.ledger.settle(message.loan_id, message.bundle_number)
-
-    async def _on_outcome_handover(
-        self, sender: str, message: peers_model.Message
-    ) -> peers_model.Message:
-        assert isinstance(message, peers_model.OutcomeHandover)
-        self.outcomes.accept_handover(message, sender=sender)
-        return peers_model.Acknowledgement()
+        for state in states:
+            names = (state.server,)
+            self.health.apply_host_list(
+                revision=state.changed_revision,
+                live=() if state.leaving else names,
+                leaving=names if state.leaving else (),
+            )
 
     def _on_catalogue(self) -> None:
-        self.ledger.set_limits(limits.quota_limits(self.catalogue.view))
+        view = self.catalogue.view
+        self.ledger.set_limits(limits.quota_limits(view))
+        self.health.set_known(view.servers)
+        self.host_list.publish()
         LOGGER.info("catalogue position %d in force", self.catalogue.position)
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
