--- /dev/null
+++ b/tests/components/admission/harness.py
@@ -0,0 +1,364 @@
+"""Run the admission core on a manual clock with simulated servers."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import heapq
+import math
+import random
+from typing import NamedTuple
+
+from returns.result import Result
+from returns.result import Success
+
+from samphirelug.components.admission import controller
+from samphirelug.components.admission import model
+from samphirelug.components.admission import ports
+from samphirelug.components.backend import model as backend_model
+from samphirelug.components.catalogue import view as catalogue_view
+from samphirelug.components.metrics import registry
+from samphirelug.components.quota import ledger as quota_ledger
+from samphirelug.components.quota import limits
+from samphirelug.components.steering import health as steering_health
+from samphirelug.components.steering import planner as steering_planner
+from samphirelug import core
+from samphirelug.helpers import timer as timer_helper
+from samphirelug import result_codes
+from tests import builders
+
+Outcome = Result[model.Permit, result_codes.Refusal]
+WORK_OF_RANK = ("file-claim", "case-status", "case-export")
+NONE_EXCLUDED: frozenset[str] = frozenset()
+
+
+class FakeLoans(ports.Loans):
+    """Hold bundles that a test lends, and record what is wanted."""
+
+    def __init__(self) -> None:
+        self.on_free: list[Callable[[], None]] = []
+        self.wanted: list[tuple[str, str, int]] = []
+        self.permits: list[model.Permit] = []
+        self.ended: list[model.Permit] = []
+
+    def want(
+        self,
+        *,
+        work: str,
+        region: str,
+        home_region: str,  # noqa: ARG002
+        body_bytes: int,  # noqa: ARG002
+        count: int,
+    ) -> None:
+        """Record the wish."""
+        self.wanted.append((work, region, count))
+
+    def take(
+        self,
+        *,
+        work: str,  # noqa: ARG002
+        region: str,
+        home_region: str,  # noqa: ARG002
+        body_bytes: int,  # noqa: ARG002
+    ) -> model.Permit | None:
+        """Return a lent bundle for the region."""
+        for permit in self.permits:
+            if permit.bundle.region == region:
+                self.permits.remove(permit)
+                return permit
+        return None
+
+    def end(
+        self,
+        permit: model.Permit,
+        *,
+        ended: model.PermitEnd,  # noqa: ARG002
+        deadline_at_s: float,  # noqa: ARG002
+    ) -> None:
+        """Make the bundle available again, as for the next request."""
+        self.ended.append(permit)
+        self.permits.append(permit)
+        for callback in self.on_free:
+            callback()
+
+
+class Catalogue:
+    """Hold a view where the catalogue state would."""
+
+    def __init__(self, view: catalogue_view.CatalogueView) -> None:
+        self.view = view
+
+
+class Harness:
+    """Wire one entry host's admission with real ledger and planner."""
+
+    def __init__(
+        self,
+        *,
+        view: catalogue_view.CatalogueView | None = None,
+        seats: tuple[str, ...] = ("tallinn",),
+        links: bool = True,
+        seed: int = 1,
+    ) -> None:
+        self.timer = timer_helper.ManualTimerService(start_s=100.0)
+        self.rng = random.Random(seed)
+        self.catalogue = Catalogue(view or builders.make_view())
+        self.ledger = quota_ledger.QuotaLedger(timer=self.timer)
+        self.limits = limits.quota_limits(self.catalogue.view)
+        self.ledger.set_limits(self.limits)
+        groups = {f"region/{region}" for region in seats}
+        if links:
+            groups |= {
+                limit.group
+                for limit in self.limits.values()
+                if limit.group.startswith("link/")
+            }
+        for group in groups:
+            self.seat(group)
+        self.health = steering_health.ServerHealth(timer=self.timer)
+        self.loans = FakeLoans()
+        self.planner = steering_planner.SteeringPlanner(
+            catalogue=self.catalogue,
+            health=self.health,
+            ledger=self.ledger,
+            rng=self.rng,
+            host=builders.make_host(),
+        )
+        self.admission = controller.AdmissionController(
+            catalogue=self.catalogue,
+            ledger=self.ledger,
+            borrower=self.loans,
+            planner=self.planner,
+            timer=self.timer,
+            metrics=registry.Metrics(),
+        )
+        self.numbers = iter(range(10**9))
+
+    def seat(self, group: str) -> None:
+        """Allot all units of a group to this host."""
+        units = {
+            key: limit.limit
+            for key, limit in self.limits.items()
+            if limit.group == group
+        }
+        self.ledger.set_seat(
+            group=group, units=units, limits=units, valid_until_s=1e9
+        )
+
+    def request(
+        self,
+        rank: core.Rank = core.Rank.INTERACTIVE,
+        *,
+        work: str | None = None,
+        home: str = "tallinn",
+        deadline_s: float = 10.0,
+        body: bytes = b"",
+    ) -> core.CallerRequest:
+        """Return a request with its deadline from now on."""
+        return core.CallerRequest(
+            request_id=str(next(self.numbers)),
+            work=work or WORK_OF_RANK[rank],
+            rank=rank,
+            method="POST",
+            path="/",
+            query="",
+            headers=(),
+            body=body,
+            deadline_at_s=self.timer.monotonic() + deadline_s,
+            home_region=home,
+            run_token=None,
+        )
+
+    def submit(
+        self,
+        request: core.CallerRequest,
+        *,
+        excluded: frozenset[str] = NONE_EXCLUDED,
+    ) -> "asyncio.Task[Outcome]":
+        """Start to admit a request."""
+        return asyncio.ensure_future(
+            self.admission.admit(request, excluded=excluded)
+        )
+
+    async def admit(self, request: core.CallerRequest) -> Outcome | None:
+        """Return the immediate outcome, None while the request queues."""
+        task = self.submit(request)
+        await settle()
+        return task.result() if task.done() else None
+
+    async def fill(
+        self, count: int, rank: core.Rank = core.Rank.INTERACTIVE
+    ) -> list[tuple[core.CallerRequest, model.Permit]]:
+        """Admit requests at once, which must all find room."""
+        filled = []
+        for _ in range(count):
+            request = self.request(rank)
+            outcome = await self.admit(request)
+            assert outcome is not None
+            filled.append((request, outcome.unwrap()))
+        return filled
+
+    def finish(
+        self, request: core.CallerRequest, permit: model.Permit
+    ) -> None:
+        """End a request with a short answer."""
+        self.admission.finish(
+            permit,
+            ended=model.PermitEnd.COMPLETE,
+            request=request,
+            answer_bytes=100,
+        )
+
+    async def advance(self, seconds: float, *, step_s: float = 0.02) -> None:
+        """Move the clock in steps and let tasks run after each."""
+        for _ in range(max(1, round(seconds / step_s))):
+            self.timer.advance(step_s)
+            await settle()
+
+    def kill(self, region: str) -> None:
+        """Let every server of a region refuse connections."""
+        for server in self.catalogue.view.servers.values():
+            if server.zone.region != region:
+                continue
+            for _ in range(3):
+                self.health.ended(
+                    server.name,
+                    latency_s=0.0,
+                    failure=backend_model.FailureKind.NOT_SENT,
+                )
+
+
+async def settle() -> None:
+    """Let the tasks that are ready run."""
+    for _ in range(4):
+        await asyncio.sleep(0)
+
+
+class Counts(NamedTuple):
+    """Count the requests of one rank in a simulated run."""
+
+    offered: int
+    served: int
+    p99_s: float
+
+
+class Load(NamedTuple):
+    """Offer requests of one rank at random times."""
+
+    rank: core.Rank
+    per_s: float
+    service_s: float
+    deadline_s: float
+
+
+def arrivals(
+    loads: tuple[Load, ...], *, duration_s: float, rng: random.Random
+) -> list[tuple[float, Load]]:
+    """Return Poisson arrivals in order of time."""
+    found = []
+    for load in loads:
+        at_s = rng.expovariate(load.per_s)
+        while at_s < duration_s:
+            found.append((at_s, load))
+            at_s += rng.expovariate(load.per_s)
+    return sorted(found, key=lambda item: item[0])
+
+
+def summarize(
+    offered: list[tuple[float, Load]],
+    served: dict[core.Rank, list[float]],
+) -> dict[core.Rank, Counts]:
+    """Count by rank; latencies are from arrival to answer."""
+    counts = {}
+    for rank in core.Rank:
+        latencies = sorted(served.get(rank, []))
+        place = math.ceil(0.99 * len(latencies)) - 1
+        counts[rank] = Counts(
+            offered=sum(load.rank is rank for _, load in offered),
+            served=len(latencies),
+            p99_s=latencies[place] if latencies else math.inf,
+        )
+    return counts
+
+
+async def simulate(
+    loads: tuple[Load, ...], *, duration_s: float, seed: int
+) -> dict[core.Rank, Counts]:
+    """Offer loads to one region's twelve slots through the admission core.
+
+    Served are the answers before the deadline and the end of the run.
+    """
+    harness = Harness(seed=seed)
+    rng = random.Random(seed)
+    offered = arrivals(loads, duration_s=duration_s, rng=rng)
+    start_s = harness.timer.monotonic()
+    served: dict[core.Rank, list[float]] = {rank: [] for rank in core.Rank}
+
+    async def run(load: Load) -> None:
+        request = harness.request(load.rank, deadline_s=load.deadline_s)
+        came_s = harness.timer.monotonic()
+        outcome = await harness.admission.admit(
+            request, excluded=NONE_EXCLUDED
+        )
+        if not isinstance(outcome, Success):
+            return
+        permit = outcome.unwrap()
+        service_s = load.service_s * rng.uniform(0.5, 1.5)
+        end_s = harness.timer.monotonic() + service_s
+        await harness.timer.sleep(service_s)
+        harness.finish(request, permit)
+        in_run = end_s <= start_s + duration_s
+        if in_run and end_s <= request.deadline_at_s:
+            served[load.rank].append(end_s - came_s)
+
+    tasks = []
+    for at_s, load in offered:
+        while harness.timer.monotonic() < start_s + at_s:
+            left_s = start_s + at_s - harness.timer.monotonic()
+            pending = harness.timer.pending
+            if pending:
+                next_s = pending[0][0] - harness.timer.monotonic()
+                # A step of nothing would not move past the arrival.
+                left_s = min(left_s, max(1e-9, next_s))
+            harness.timer.advance(left_s)
+            await settle()
+        tasks.append(asyncio.ensure_future(run(load)))
+        await asyncio.sleep(0)
+    await harness.advance(12.0)
+    for task in tasks:
+        assert task.done()
+    return summarize(offered, served)
+
+
+def first_come(
+    loads: tuple[Load, ...], *, duration_s: float, seed: int, slots: int = 12
+) -> dict[core.Rank, Counts]:
+    """Offer the same loads to one bounded first-come-first-served queue."""
+    rng = random.Random(seed)
+    offered = arrivals(loads, duration_s=duration_s, rng=rng)
+    served: dict[core.Rank, list[float]] = {rank: [] for rank in core.Rank}
+    ends: list[float] = []
+    waiting: collections.deque[tuple[float, Load]] = collections.deque()
+
+    def start(at_s: float, came_s: float, load: Load) -> None:
+        end_s = at_s + load.service_s * rng.uniform(0.5, 1.5)
+        heapq.heappush(ends, end_s)
+        if end_s <= min(duration_s, came_s + load.deadline_s):
+            served[load.rank].append(end_s - came_s)
+
+    def run_until(at_s: float) -> None:
+        while ends and ends[0] <= at_s:
+            free_s = heapq.heappop(ends)
+            while waiting:
+                came_s, queued = waiting.popleft()
+                if free_s - came_s < queued.deadline_s:
+                    start(free_s, came_s, queued)
+                    break
+
+    for at_s, load in offered:
+        run_until(at_s)
+        if len(ends) < slots:
+            start(at_s, at_s, load)
+        elif len(waiting) < 1536:
+            waiting.append((at_s, load))
+    run_until(duration_s)
+    return summarize(offered, served)
