--- a/src/samphirelug/__main__.py
+++ b/src/samphirelug/__main__.py
@@ -4,12 +4,20 @@
 
 import typer
 
+from samphirelug.components.commands import catalogue
+from samphirelug.components.commands import lookup
+from samphirelug.components.commands import settings
+from samphirelug.components.commands import status
+
 app = typer.Typer(
     name="samphirelug",
     help="Steer traffic across regions, driven by a catalogue.",
     no_args_is_help=True,
     add_completion=False,
 )
+app.add_typer(catalogue.app, name="catalogue")
+app.command(cls=settings.Command)(lookup.lookup)
+app.command(cls=settings.Command)(status.status)
 
 
 @app.callback()
--- /dev/null
+++ b/src/samphirelug/components/catalogue/diff.py
@@ -0,0 +1,54 @@
+"""Show how two versions of catalogue entries differ."""
+
+from collections.abc import Mapping
+import difflib
+from typing import NamedTuple
+
+import yaml
+
+from samphirelug.components.catalogue import schema
+
+
+class EntryChange(NamedTuple):
+    """Hold both versions of an entry; None where it does not exist."""
+
+    key: str
+    before: schema.Entry | None
+    after: schema.Entry | None
+
+
+def to_yaml(entry: schema.Entry | None) -> str:
+    """Return an entry as YAML, empty for none."""
+    if entry is None:
+        return ""
+    text: str = yaml.safe_dump(
+        schema.plain(entry), sort_keys=False, allow_unicode=True
+    )
+    return text
+
+
+def changes(
+    *,
+    current: Mapping[str, schema.Entry],
+    wanted: Mapping[str, schema.Entry | None],
+) -> tuple[EntryChange, ...]:
+    """Return the wanted entries that differ; None deletes an entry."""
+    return tuple(
+        EntryChange(key, current.get(key), entry)
+        for key, entry in wanted.items()
+        if current.get(key) != entry
+    )
+
+
+def unified(
+    change: EntryChange, *, before: str = "current", after: str = "new"
+) -> str:
+    """Return a unified diff of the two versions, empty where equal."""
+    return "".join(
+        difflib.unified_diff(
+            to_yaml(change.before).splitlines(keepends=True),
+            to_yaml(change.after).splitlines(keepends=True),
+            fromfile=f"{change.key} ({before})",
+            tofile=f"{change.key} ({after})",
+        )
+    )
