--- a/src/samphirelug/__main__.py
+++ b/src/samphirelug/__main__.py
@@ -4,7 +4,11 @@
 
 import typer
 
+from samphirelug.components.commands import catalogue
 from samphirelug.components.commands import entry_host
+from samphirelug.components.commands import lookup
+from samphirelug.components.commands import settings
+from samphirelug.components.commands import status
 
 app = typer.Typer(
     name="samphirelug",
@@ -12,8 +16,9 @@
     no_args_is_help=True,
     add_completion=False,
 )
-
-
+app.add_typer(catalogue.app, name="catalogue")
+app.command(cls=settings.Command)(lookup.lookup)
+app.command(cls=settings.Command)(status.status)
 app.add_typer(entry_host.app, name="entry-host")
 
 
