--- a/src/samphirelug/components/quota/model.py
+++ b/src/samphirelug/components/quota/model.py
@@ -35,15 +35,35 @@
 
     host: str
     incarnation: str
+    # Only one process at a time can be bound to it.
+    address: str
     # Counts up with each renewal; standing still means a lapsing lease.
     renewal: int
     units: Mapping[str, int]
+    # Limit of each key that the units were allotted under. A holder that
+    # has not heard of a later limit uses its units under this one.
+    limits: Mapping[str, int]
 
 
 class SeatTable(NamedTuple):
     """Divide the units of one group between entry hosts."""
 
     group: str
-    # Limits that the units were divided under.
-    limits: Mapping[str, int]
     seats: Mapping[str, Seat]
+
+
+class SeatSettings(NamedTuple):
+    """Set the times of the leases on seats."""
+
+    lease_s: float = 900.0
+    renew_s: float = 300.0
+    # Covers 1 % difference between clocks over the lease.
+    margin_s: float = 10.0
+    # How often changes of limits and hosts are looked for.
+    tick_s: float = 0.5
+    # Time over which the hosts of a group spread a change, for each host.
+    spread_per_host_s: float = 0.05
+    retry_s: float = 0.5
+    retry_max_s: float = 30.0
+    # Longest time that a planned stop waits for units to be released.
+    give_up_s: float = 5.0
--- /dev/null
+++ b/src/samphirelug/components/quota/seats.py
@@ -0,0 +1,291 @@
+"""Plan an entry host's part of a seat table, and read and write tables.
+
+A seat's weight for a key is its units divided by the limit that they were
+allotted under. The weights of all seats add up to at most 1 in every version
+of a table. A holder's units under a lower limit are scaled by its weight, so
+the sum over the holders is at most whichever limit they all know.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+from typing import Annotated
+from typing import Any
+from typing import NamedTuple
+
+import pydantic
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+from typing_extensions import TypedDict
+
+from samphirelug.components.quota import const
+from samphirelug.components.quota import model
+from samphirelug.helpers import rendezvous
+
+Amount = Annotated[int, pydantic.Field(ge=0, strict=True)]
+
+
+class SeatValue(TypedDict):
+    """Lay out a seat in the store."""
+
+    incarnation: str
+    address: str
+    renewal: Amount
+    # Index into the table's limits.
+    limits: Amount
+    units: list[Amount]
+
+
+class SeatTableValue(TypedDict):
+    """Lay out a seat table in the store.
+
+    Units and limits are lists in the order of keys, and limits are shared
+    between seats, since a table must stay below MAX_OBJECT_BYTES.
+    """
+
+    keys: list[str]
+    limits: list[list[Amount]]
+    seats: dict[str, SeatValue]
+
+
+_TABLE = pydantic.TypeAdapter(SeatTableValue)
+
+
+class SeatPlan(NamedTuple):
+    """Propose the next version of a table, and of one seat in it."""
+
+    table: model.SeatTable
+    # None where the host takes no further part in the group.
+    seat: model.Seat | None
+    changed: bool
+
+
+class Imbalance(NamedTuple):
+    """Compare a seat with its host's fair share."""
+
+    # More units of some key than the share, by any or by a large amount.
+    excess: bool
+    large_excess: bool
+    deficit: bool
+
+
+def table_key(group: str) -> str:
+    """Return the store's key for the table of a group."""
+    return f"seats/{group}"
+
+
+def encode_table(table: model.SeatTable) -> SeatTableValue:
+    """Return the JSON object for a table."""
+    keys = sorted({key for seat in table.seats.values() for key in seat.units})
+    limits: dict[tuple[int, ...], int] = {}
+    seats: dict[str, SeatValue] = {}
+    for host, seat in table.seats.items():
+        row = tuple(seat.limits.get(key, 0) for key in keys)
+        seats[host] = {
+            "incarnation": seat.incarnation,
+            "address": seat.address,
+            "renewal": seat.renewal,
+            "limits": limits.setdefault(row, len(limits)),
+            "units": [seat.units.get(key, 0) for key in keys],
+        }
+    return {
+        "keys": keys,
+        "limits": [list(row) for row in limits],
+        "seats": seats,
+    }
+
+
+def decode_table(
+    group: str, value: Mapping[str, Any]
+) -> Result[model.SeatTable, str]:
+    """Check a JSON object and return its table, or what is wrong."""
+    try:
+        checked = _TABLE.validate_python(dict(value))
+    except pydantic.ValidationError as error:
+        return Failure(str(error))
+    keys = checked["keys"]
+    if len(set(keys)) != len(keys):
+        return Failure("keys are not distinct")
+    seats: dict[str, model.Seat] = {}
+    for host, seat in checked["seats"].items():
+        if seat["limits"] >= len(checked["limits"]):
+            return Failure(f"seat {host} has no limits")
+        limits = checked["limits"][seat["limits"]]
+        if not len(seat["units"]) == len(limits) == len(keys):
+            return Failure(f"seat {host} does not match the keys")
+        rows = list(zip(keys, seat["units"], limits, strict=True))
+        if any(units > limit for _, units, limit in rows):
+            return Failure(f"seat {host} has units above the limit")
+        seats[host] = model.Seat(
+            host=host,
+            incarnation=seat["incarnation"],
+            address=seat["address"],
+            renewal=seat["renewal"],
+            units={key: units for key, units, _ in rows if units},
+            limits={key: limit for key, units, limit in rows if units},
+        )
+    return Success(model.SeatTable(group, seats))
+
+
+def longest_hold_s(limits: Iterable[model.QuotaLimit]) -> float:
+    """Return for how long units may be in use after their lease, in s."""
+    linger_s = max((limit.linger_s for limit in limits), default=0.0)
+    return const.LOAN_S + const.REQUEST_HOLD_S + linger_s
+
+
+def fair_share(
+    *, limits: Mapping[str, int], host: str, hosts: frozenset[str]
+) -> dict[str, int]:
+    """Return a host's part of each limit when all hosts share evenly."""
+    shares: dict[str, int] = {}
+    for key, limit in limits.items():
+        share, remainder = divmod(limit, len(hosts))
+        if remainder:
+            order = rendezvous.rank_names(key=key, names=hosts)
+            share += order.index(host) < remainder
+        shares[key] = share
+    return shares
+
+
+def units_under(seat: model.Seat | None, key: str, limit: int) -> int:
+    """Return what a seat's units are worth under a limit in force."""
+    if seat is None:
+        return 0
+    units = seat.units.get(key, 0)
+    limit_then = seat.limits.get(key, limit)
+    return units * limit // limit_then if limit < limit_then else units
+
+
+def weigh(
+    seat: model.Seat | None,
+    *,
+    fair: Mapping[str, int],
+    limits: Mapping[str, int],
+) -> Imbalance:
+    """Compare a seat with the fair share.
+
+    An excess is large above a quarter of the share: in a large group a
+    newcomer changes each share by less, and a write by every host for each
+    newcomer would exceed the store's call budget.
+    """
+    excess = large_excess = deficit = False
+    for key, limit in limits.items():
+        share = fair.get(key, 0)
+        over = units_under(seat, key, limit) - share
+        excess = excess or over > 0
+        large_excess = large_excess or over * 4 > share
+        deficit = deficit or over < 0
+    return Imbalance(excess, large_excess, deficit)
+
+
+def plan_seat(
+    *,
+    table: model.SeatTable,
+    host: str,
+    incarnation: str,
+    address: str,
+    renewal: int,
+    fair: Mapping[str, int],
+    limits: Mapping[str, int],
+    floors: Mapping[str, int],
+    expired: frozenset[str],
+    leaving: bool,
+) -> SeatPlan:
+    """Plan the host's own seat, without the expired seats of others.
+
+    Units are raised from the free pool up to the fair share, or lowered to
+    it but not below the floors, which are in use.
+    """
+    mine = table.seats.get(host)
+    others = {
+        name: seat
+        for name, seat in table.seats.items()
+        if name != host and name not in expired
+    }
+    units: dict[str, int] = {}
+    unit_limits: dict[str, int] = {}
+    for key in limits.keys() | (mine.units.keys() if mine else set()):
+        amount, limit = _plan_key(
+            key,
+            limit=limits.get(key, 0),
+            share=0 if leaving else fair.get(key, 0),
+            floor=floors.get(key, 0),
+            mine=mine,
+            others=others.values(),
+        )
+        if amount:
+            units[key] = amount
+            unit_limits[key] = limit
+    seat: model.Seat | None = None
+    if units or not leaving:
+        seat = model.Seat(
+            host, incarnation, address, renewal, units, unit_limits
+        )
+        others[host] = seat
+    same = (
+        seat is not None
+        and mine is not None
+        and (seat.incarnation, seat.units, seat.limits)
+        == (mine.incarnation, mine.units, mine.limits)
+    )
+    return SeatPlan(
+        table=model.SeatTable(table.group, others),
+        seat=seat,
+        changed=not same and (seat is not None or mine is not None),
+    )
+
+
+def _plan_key(
+    key: str,
+    *,
+    limit: int,
+    share: int,
+    floor: int,
+    mine: model.Seat | None,
+    others: Iterable[model.Seat],
+) -> tuple[int, int]:
+    have = mine.units.get(key, 0) if mine else 0
+    have_limit = mine.limits.get(key, limit) if mine else limit
+    scaled = units_under(mine, key, limit)
+    # Rounded up, so that the weights never add up to more than 1.
+    taken = sum(
+        -(-seat.units[key] * limit // seat.limits[key])
+        for seat in others
+        if key in seat.units
+    )
+    target = min(share, max(scaled, limit - taken))
+    floor = min(floor, have)
+    if floor <= target:
+        return target, limit
+    if floor <= scaled:
+        return floor, limit
+    # More is in use than the lowered limit leaves. The old limit is kept
+    # with the units, since the weight may not grow.
+    return floor, have_limit
+
+
+class SeatTracker:
+    """Measure on the own clock for how long seats were not renewed."""
+
+    def __init__(self) -> None:
+        # Host to incarnation, renewal counter and time first seen.
+        self.seen: dict[str, tuple[str, int, float]] = {}
+
+    def observe(self, table: model.SeatTable, *, now: float) -> None:
+        """Record a table that was read from the store before now."""
+        seen: dict[str, tuple[str, int, float]] = {}
+        for host, seat in table.seats.items():
+            known = self.seen.get(host)
+            if known and known[:2] == (seat.incarnation, seat.renewal):
+                seen[host] = known
+            else:
+                seen[host] = (seat.incarnation, seat.renewal, now)
+        self.seen = seen
+
+    def expired(self, *, now: float, wait_s: float) -> frozenset[str]:
+        """Return the hosts whose counter stood still for wait_s."""
+        return frozenset(
+            host
+            for host, (_, _, since_s) in self.seen.items()
+            if now - since_s >= wait_s
+        )
--- /dev/null
+++ b/tests/components/quota/simulation.py
@@ -0,0 +1,525 @@
+"""Run several entry hosts against a store and a mesh that fail.
+
+Use is counted from outside: each dispatch occupies its units, as a backend
+server would see it, until the request really ends and has lingered.
+"""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+from collections.abc import Mapping
+import itertools
+import math
+import random
+from typing import Any
+from typing import NamedTuple
+
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from samphirelug.components.admission import model as admission_model
+from samphirelug.components.catalogue import view as catalogue_view
+from samphirelug.components.peers import mesh as peer_mesh
+from samphirelug.components.peers import model as peer_model
+from samphirelug.components.quota import const
+from samphirelug.components.quota import ledger as quota_ledger
+from samphirelug.components.quota import limits
+from samphirelug.components.quota import loans
+from samphirelug.components.quota import model
+from samphirelug.components.quota import seat_keeper
+from samphirelug.components.store import model as store_model
+from samphirelug.components.store import object_store
+from samphirelug import core
+from samphirelug.helpers import timer as timer_helper
+from samphirelug import result_codes
+from tests import builders
+
+CODES = result_codes.ResultCode
+STEP_S = 0.25
+SETTINGS = model.SeatSettings(
+    lease_s=20.0, renew_s=6.0, margin_s=1.0, retry_max_s=2.0
+)
+
+
+class Use(NamedTuple):
+    """Record units of one key that a dispatch occupies."""
+
+    since_s: float
+    until_s: float
+    amount: int
+
+
+class KnownLimits(NamedTuple):
+    """Record the limits that a host acts on, and until when."""
+
+    host: object
+    until_s: float
+    limits: Mapping[str, int]
+
+
+def make_view(max_in_flight: int, shift: int) -> catalogue_view.CatalogueView:
+    zones = ["tallinn-a", "tartu-a"]
+    work = builders.make_work("status", work_class=core.WorkClass.STATUS)
+    work["max_answer_bytes"] = 100
+    entries = [
+        builders.make_region(
+            zone[:-2], max_in_flight=max_in_flight, shift_requests=shift
+        )
+        for zone in zones
+    ]
+    return catalogue_view.CatalogueView(
+        entries=[
+            *entries,
+            builders.make_link("tallinn", "tartu", bytes_per_s=1000),
+            builders.make_service("filing", zones=zones, slots=4),
+            work,
+        ]
+    )
+
+
+class CatalogueHolder:
+    """Stand in for CatalogueState."""
+
+    def __init__(self, view: catalogue_view.CatalogueView) -> None:
+        self.view = view
+
+
+class World:
+    """Own the clock, the store's objects, the hosts and the true use."""
+
+    def __init__(self, *, seed: int, settings: model.SeatSettings) -> None:
+        self.settings = settings
+        self.rng = random.Random(seed)
+        self.timer = timer_helper.ManualTimerService(start_s=1000.0)
+        self.objects: dict[str, store_model.StoredObject] = {}
+        self.revision = 0
+        self.store_up = True
+        self.failure_rate = 0.0
+        self.calls = 0
+        self.writes = 0
+        self.hosts: dict[str, Host] = {}
+        self.starts = itertools.count(1)
+        self.view = make_view(7, 5)
+        self.in_use: dict[str, list[Use]] = {}
+        self.known: list[KnownLimits] = []
+        self.dispatches = 0
+        self.loans = 0
+        self.peak: dict[str, float] = {}
+
+    def fails(self) -> bool:
+        return self.rng.random() < self.failure_rate
+
+    def learn(self, host: object, counts: Mapping[str, int]) -> None:
+        """Note that a host acts on other limits from now on."""
+        # It may use bundles that it borrowed before for LOAN_S more.
+        end_s = self.timer.monotonic() + const.LOAN_S
+        self.known = [
+            known._replace(until_s=min(known.until_s, end_s))
+            if known.host is host
+            else known
+            for known in self.known
+        ]
+        if counts:
+            self.known.append(KnownLimits(host, math.inf, counts))
+
+    def used(self, bundle: model.Bundle, end_s: float) -> None:
+        """Count a dispatch whose request ends at end_s, and check it.
+
+        Requests that were dispatched since a time may together use no more
+        than the highest limit that any host has acted on since then.
+        """
+        now = self.timer.monotonic()
+        linger = limits.quota_limits(self.view)
+        self.dispatches += 1
+        for key, amount in bundle.units:
+            until_s = end_s + linger[key].linger_s
+            uses = [
+                use for use in self.in_use.get(key, ()) if use.until_s > now
+            ]
+            uses.append(Use(now, until_s, amount))
+            self.in_use[key] = uses
+            total = 0
+            for use in reversed(uses):
+                total += use.amount
+                bound = max(
+                    known.limits.get(key, 0)
+                    for known in self.known
+                    if known.until_s >= use.since_s
+                )
+                assert total <= bound, (now, key, total, bound)
+            part = sum(use.amount for use in uses) / linger[key].limit
+            self.peak[key] = max(self.peak.get(key, 0.0), part)
+
+    def set_view(self, view: catalogue_view.CatalogueView) -> None:
+        self.view = view
+        for host in self.hosts.values():
+            host.later(self.rng.random(), host.take_view)
+
+    def start(self, name: str, zone: str) -> "Host":
+        host = Host(world=self, name=name, zone=zone)
+        self.hosts[name] = host
+        return host
+
+    def names_in(self, region: str) -> frozenset[str]:
+        return frozenset(
+            host.name
+            for host in self.hosts.values()
+            if host.region == region and not host.dead
+        )
+
+    async def run(self, duration_s: float) -> None:
+        """Advance all clocks in steps, with some load on every host."""
+        for _ in range(int(duration_s / STEP_S)):
+            self.timer.advance(STEP_S)
+            for host in list(self.hosts.values()):
+                if not host.paused and not host.dead:
+                    host.timer.advance(
+                        self.timer.monotonic() - host.timer.monotonic()
+                    )
+            for _ in range(6):
+                await asyncio.sleep(0)
+            for host in list(self.hosts.values()):
+                if not host.paused and not host.dead:
+                    host.load()
+
+
+class Host:
+    """Run the quota parts of one entry host."""
+
+    def __init__(self, *, world: World, name: str, zone: str) -> None:
+        self.world = world
+        self.name = name
+        self.region = zone[:-2]
+        self.paused = False
+        self.dead = False
+        self.cut_off = False
+        self.demand = 0.5
+        self.orphans = 0.1
+        self.timer = timer_helper.ManualTimerService(
+            start_s=world.timer.monotonic()
+        )
+        self.catalogue = CatalogueHolder(world.view)
+        self.ledger = quota_ledger.QuotaLedger(timer=self.timer)
+        self.mesh = FakeMesh(self)
+        identity = builders.make_host(name, zone=zone)
+        identity = identity._replace(
+            incarnation=f"{name}-{next(world.starts)}"
+        )
+        self.borrower = loans.Borrower(
+            ledger=self.ledger,
+            mesh=self.mesh,
+            timer=self.timer,
+            host=identity,
+        )
+        self.identity = identity
+        self.mesh.set_handler(peer_model.GrantRequest, self.grant)
+        self.mesh.set_handler(
+            peer_model.GrantReturn, loans.make_return_handler(self.ledger)
+        )
+        self.keeper = seat_keeper.SeatKeeper(
+            store=FakeStore(self),
+            ledger=self.ledger,
+            timer=self.timer,
+            rng=world.rng,
+            host=identity,
+            catalogue=self.catalogue,
+            hosts_of=world.names_in,
+            settings=world.settings,
+        )
+        self.take_view()
+        self.task = asyncio.get_running_loop().create_task(self.keeper.run())
+
+    def take_view(self) -> None:
+        if self.dead:
+            return
+        self.catalogue.view = self.world.view
+        counts = limits.quota_limits(self.world.view)
+        self.ledger.set_limits(counts)
+        self.world.learn(
+            self, {key: limit.limit for key, limit in counts.items()}
+        )
+
+    def later(self, delay_s: float, callback: Callable[[], None]) -> None:
+        """Call back on this host's event loop; not while it is paused."""
+        self.timer.call_at(
+            when_s=self.world.timer.monotonic() + delay_s, callback=callback
+        )
+
+    def kill(self) -> None:
+        self.dead = True
+        self.task.cancel()
+        self.world.learn(self, {})
+
+    def resume(self) -> None:
+        """Wake after a pause; the first reading of the clock is late."""
+        self.paused = False
+        self.timer.now_s = self.world.timer.monotonic()
+        # Work may be dispatched before any timer callback has run.
+        self.load()
+
+    def load(self) -> None:
+        """Try to dispatch a few requests, with own units or borrowed."""
+        rng = self.world.rng
+        for _ in range(4):
+            if rng.random() >= self.demand:
+                continue
+            server = rng.choice(list(self.world.view.servers.values()))
+            home = rng.choice(["tallinn", "tartu"])
+            bundle = self.bundle(server, self.region, home)
+            hold = self.ledger.try_hold(bundle)
+            if isinstance(hold, Success):
+                self.dispatch(bundle, hold.unwrap(), None)
+                continue
+            region = rng.choice([self.region, server.zone.region])
+            permit = self.borrower.take(
+                work="status", region=region, home_region=home, body_bytes=20
+            )
+            if permit is None:
+                self.borrower.want(
+                    work="status",
+                    region=region,
+                    home_region=home,
+                    body_bytes=20,
+                    count=2,
+                )
+            else:
+                self.world.loans += 1
+                self.dispatch(permit.bundle, permit.hold_id, permit)
+
+    def bundle(
+        self, server: core.BackendServer, host_region: str, home: str
+    ) -> model.Bundle:
+        view = self.world.view
+        return limits.bundle_for(
+            view=view,
+            work=view.works["status"],
+            server=server,
+            host_region=host_region,
+            home_region=home,
+            body_bytes=20,
+        )
+
+    def dispatch(
+        self,
+        bundle: model.Bundle,
+        hold_id: int,
+        permit: admission_model.Permit | None,
+    ) -> None:
+        """Use a permit for a time; the server may work on for longer."""
+        rng = self.world.rng
+        now = self.world.timer.monotonic()
+        orphaned = rng.random() < self.orphans
+        duration_s = rng.choice([0.3, 1.0, 4.0])
+        deadline_s = now + (rng.uniform(20, 30) if orphaned else duration_s)
+        end_s = deadline_s + 0.5 if orphaned else deadline_s
+        self.world.used(bundle, end_s)
+        if permit is not None:
+            ended = admission_model.PermitEnd(
+                "orphaned" if orphaned else "complete"
+            )
+            self.later(
+                0.5 if orphaned else duration_s,
+                lambda: self.borrower.end(
+                    permit, ended=ended, deadline_at_s=deadline_s
+                ),
+            )
+        elif orphaned:
+            self.ledger.release_at(hold_id, end_s)
+        else:
+            self.later(duration_s, lambda: self.ledger.release(hold_id))
+
+    async def grant(
+        self,
+        sender: str,  # noqa: ARG002
+        message: peer_model.Message,
+    ) -> peer_model.Message:
+        """Lend what is asked for, as far as it is free."""
+        assert isinstance(message, peer_model.GrantRequest)
+        loan_id = f"{self.identity.incarnation}/{next(self.world.starts)}"
+        lent: list[model.Bundle] = []
+        view = self.world.view
+        for server in view.servers_in(service="filing", region=message.region):
+            bundle = self.bundle(
+                server, message.host_region, message.home_region
+            )
+            if len(lent) < message.bundles_wanted and self.ledger.lend(
+                bundle,
+                loan_id=loan_id,
+                bundle_number=len(lent) + 1,
+                until_s=self.timer.monotonic() + const.LOAN_S,
+            ):
+                lent.append(bundle)
+        return peer_model.Grant(loan_id, tuple(lent), const.LOAN_S)
+
+
+class FakeMesh(peer_mesh.PeerMesh):
+    """Deliver, delay or lose messages between simulated hosts."""
+
+    def __init__(self, host: Host) -> None:
+        self.host = host
+        self.handlers: dict[type, peer_mesh.Handler] = {}
+
+    def live_peers(self) -> tuple[peer_model.PeerView, ...]:
+        peers = [
+            peer
+            for peer in self.host.world.hosts.values()
+            if peer is not self.host and not peer.dead
+        ]
+        return tuple(map(self.view_of, peers))
+
+    def view_of(self, peer: Host) -> peer_model.PeerView:
+        beat = peer_model.Heartbeat(
+            host=peer.identity,
+            state=core.EntryHostState.SERVING,
+            clock_ms=0,
+            catalogue_revision=0,
+            headroom=tuple(
+                peer_model.RegionHeadroom(
+                    region,
+                    "filing",
+                    peer.ledger.free(limits.region_key(region)),
+                    0,
+                )
+                for region in ("tallinn", "tartu")
+            ),
+            queued=(0, 0, 0),
+            wait_s=(0.0, 0.0, 0.0),
+            sightings=(),
+        )
+        return peer_model.PeerView(beat, self.host.timer.monotonic(), True)
+
+    def deliver(
+        self,
+        name: str,
+        message: peer_model.Message,
+        answer: Callable[[peer_model.Message | None], None],
+    ) -> None:
+        world = self.host.world
+        peer = world.hosts.get(name)
+        if peer is None or self.host.cut_off or peer.cut_off or world.fails():
+            return
+        handler = peer.mesh.handlers[type(message)]
+
+        async def handle() -> None:
+            answer(await handler(self.host.name, message))
+
+        delay_s = world.rng.choice([0.0, 0.3, 3.0 if world.fails() else 0.1])
+        peer.later(delay_s, lambda: spawn(handle()))
+        if world.fails() and isinstance(message, peer_model.GrantReturn):
+            peer.later(delay_s + 5.0, lambda: spawn(handle()))
+
+    async def request(
+        self, host: str, message: peer_model.Message, *, timeout_s: float
+    ) -> Result[peer_model.Message, result_codes.Refusal]:
+        box: list[peer_model.Message | None] = []
+        world = self.host.world
+        self.deliver(
+            host,
+            message,
+            lambda got: None if world.fails() else box.append(got),
+        )
+        end_s = self.host.timer.monotonic() + timeout_s
+        while not box and self.host.timer.monotonic() < end_s:
+            await self.host.timer.sleep(STEP_S)
+        if box and box[0] is not None:
+            return Success(box[0])
+        return Failure(result_codes.Refusal(CODES.PEER_UNREACHABLE, ""))
+
+    def send(self, host: str, message: peer_model.Message) -> None:
+        self.deliver(host, message, lambda _: None)
+
+    def broadcast(self, message: peer_model.Message) -> None:
+        raise NotImplementedError
+
+    def set_handler(self, kind: type, handler: peer_mesh.Handler) -> None:
+        self.handlers[kind] = handler
+
+
+TASKS: set[asyncio.Task[None]] = set()
+
+
+def spawn(work: Coroutine[Any, Any, None]) -> None:
+    task = asyncio.get_running_loop().create_task(work)
+    TASKS.add(task)
+    task.add_done_callback(TASKS.discard)
+
+
+class FakeStore(object_store.ObjectStore):
+    """Apply calls late or never, and lose answers."""
+
+    def __init__(self, host: Host) -> None:
+        self.host = host
+
+    async def call(
+        self,
+        action: Callable[
+            [], Result[store_model.StoredObject, result_codes.Refusal]
+        ],
+    ) -> Result[store_model.StoredObject, result_codes.Refusal]:
+        world = self.host.world
+        world.calls += 1
+        if not world.store_up:
+            await self.host.timer.sleep(STEP_S)
+            return self.refuse(CODES.STORE_UNAVAILABLE)
+        box: list[Result[store_model.StoredObject, result_codes.Refusal]] = []
+        delay_s = world.rng.random() * STEP_S
+        if world.fails():
+            # May take effect long after the caller has given up waiting.
+            delay_s = world.rng.uniform(1.0, 8.0)
+        if not world.fails():
+            world.timer.call_at(
+                when_s=world.timer.monotonic() + delay_s,
+                callback=lambda: box.append(action()),
+            )
+        lost = world.fails()
+        end_s = self.host.timer.monotonic() + 1.0
+        while not box and self.host.timer.monotonic() < end_s:
+            await self.host.timer.sleep(STEP_S)
+        return (
+            self.refuse(CODES.STORE_OUTCOME_UNKNOWN)
+            if (lost or not box)
+            else box[0]
+        )
+
+    def refuse(
+        self, code: result_codes.ResultCode
+    ) -> Result[store_model.StoredObject, result_codes.Refusal]:
+        return Failure(result_codes.Refusal(code, ""))
+
+    async def get(
+        self, key: str
+    ) -> Result[store_model.StoredObject, result_codes.Refusal]:
+        def action() -> Result[store_model.StoredObject, result_codes.Refusal]:
+            found = self.host.world.objects.get(key)
+            if found is None:
+                return self.refuse(CODES.OBJECT_NOT_FOUND)
+            return Success(found)
+
+        return await self.call(action)
+
+    async def put(
+        self, key: str, value: Mapping[str, Any], *, expected_revision: int
+    ) -> Result[store_model.StoredObject, result_codes.Refusal]:
+        def action() -> Result[store_model.StoredObject, result_codes.Refusal]:
+            world = self.host.world
+            found = world.objects.get(key)
+            if (found.revision if found else 0) != expected_revision:
+                return self.refuse(CODES.STORE_CONFLICT)
+            world.revision += 1
+            world.writes += 1
+            stored = store_model.StoredObject(key, world.revision, value)
+            world.objects[key] = stored
+            return Success(stored)
+
+        return await self.call(action)
+
+    async def list(
+        self, prefix: str
+    ) -> Result[store_model.Listing, result_codes.Refusal]:
+        raise NotImplementedError
+
+    async def watch(
+        self, prefix: str, *, after: int, timeout_s: float
+    ) -> Result[store_model.Listing, result_codes.Refusal]:
+        raise NotImplementedError
--- /dev/null
+++ b/tests/components/quota/test_loans.py
@@ -0,0 +1,189 @@
+"""Check the borrower's side of loans; test_seat_keeper has both sides."""
+
+import asyncio
+from collections.abc import Callable
+
+from returns.result import Result
+from returns.result import Success
+
+from samphirelug.components.admission import model as admission_model
+from samphirelug.components.peers import model as peer_model
+from samphirelug.components.quota import ledger as quota_ledger
+from samphirelug.components.quota import limits
+from samphirelug.components.quota import loans
+from samphirelug.components.quota import model
+from samphirelug import result_codes
+from tests.components.quota import simulation
+
+COMPLETE = admission_model.PermitEnd.COMPLETE
+ORPHANED = admission_model.PermitEnd.ORPHANED
+
+
+class ScriptedMesh(simulation.FakeMesh):
+    """Answer every GrantRequest with two bundles, after a delay."""
+
+    def __init__(self, host: simulation.Host) -> None:
+        super().__init__(host)
+        self.keys = ["region:tallinn"]
+        self.delay_s = 0.0
+        self.sent: list[tuple[float, peer_model.Message]] = []
+
+    async def request(
+        self, host: str, message: peer_model.Message, *, timeout_s: float
+    ) -> Result[peer_model.Message, result_codes.Refusal]:
+        assert host == "eh2"
+        assert timeout_s < 2.0
+        assert isinstance(message, peer_model.GrantRequest)
+        await self.host.timer.sleep(self.delay_s)
+        units = tuple(model.UnitAmount(key, 20) for key in self.keys)
+        bundle = model.Bundle("tallinn", "s", units)
+        return Success(peer_model.Grant("l", (bundle, bundle), 2.0))
+
+    def send(self, host: str, message: peer_model.Message) -> None:
+        assert host == "eh2"
+        self.sent.append((self.host.timer.monotonic() - 1000.0, message))
+
+
+async def settle_tasks() -> None:
+    for _ in range(5):
+        await asyncio.sleep(0)
+
+
+def borrow(
+    check: Callable[[simulation.Host, ScriptedMesh, loans.Borrower], None],
+    *,
+    delay_s: float = 0.0,
+    keys: tuple[str, ...] = ("region:tallinn",),
+) -> list[tuple[float, peer_model.Message]]:
+    """Borrow two bundles, run the check and return the messages sent."""
+
+    async def run() -> list[tuple[float, peer_model.Message]]:
+        world = simulation.World(seed=0, settings=simulation.SETTINGS)
+        host = world.start("eh1", "tartu-a")
+        lender = world.start("eh2", "tallinn-a")
+        lender.ledger = quota_ledger.QuotaLedger(timer=lender.timer)
+        counts = limits.quota_limits(world.view)
+        lender.ledger.set_limits(counts)
+        lender.ledger.set_seat(
+            group="region/tallinn",
+            units={"region:tallinn": 5},
+            limits={"region:tallinn": 7},
+            valid_until_s=2000.0,
+        )
+        mesh = ScriptedMesh(host)
+        mesh.delay_s = delay_s
+        mesh.keys = list(keys)
+        borrower = loans.Borrower(
+            ledger=host.ledger,
+            mesh=mesh,
+            timer=host.timer,
+            host=host.identity,
+        )
+        for _ in range(2):
+            borrower.want(
+                work="status",
+                region="tallinn",
+                home_region="tallinn",
+                body_bytes=20,
+                count=2,
+            )
+        await settle_tasks()
+        host.timer.advance(delay_s)
+        await settle_tasks()
+        check(host, mesh, borrower)
+        host.timer.advance(60.0)
+        host.kill()
+        lender.kill()
+        return mesh.sent
+
+    return asyncio.run(run())
+
+
+def take(
+    borrower: loans.Borrower, *, body_bytes: int = 20, home: str = "tallinn"
+) -> admission_model.Permit | None:
+    return borrower.take(
+        work="status",
+        region="tallinn",
+        home_region=home,
+        body_bytes=body_bytes,
+    )
+
+
+def returned(number: int) -> peer_model.GrantReturn:
+    return peer_model.GrantReturn("l", number)
+
+
+def test_bundle_is_reused_until_the_loan_ends() -> None:
+    """The lender counts the loan from its answer, thus later."""
+
+    def check(
+        host: simulation.Host, mesh: ScriptedMesh, borrower: loans.Borrower
+    ) -> None:
+        permit = take(borrower)
+        assert permit is not None
+        host.timer.advance(0.9)
+        borrower.end(permit, ended=COMPLETE, deadline_at_s=1e9)
+        borrower.end(permit, ended=COMPLETE, deadline_at_s=1e9)
+        permit = take(borrower)
+        assert permit is not None
+        # The idle one was returned; 0.9 s + 1.08 s is the end of the loan.
+        assert mesh.sent == [(0.9 + 0.1, returned(2))]
+        assert take(borrower) is None
+        host.timer.advance(0.19)
+        borrower.end(permit, ended=COMPLETE, deadline_at_s=1e9)
+        assert take(borrower) is None
+
+    sent = borrow(check, delay_s=0.9)
+    assert [message for _, message in sent] == [returned(2), returned(1)]
+
+
+def test_paused_borrower_takes_nothing_after_the_loan() -> None:
+    """A paused process runs its timers late."""
+
+    def check(
+        host: simulation.Host,
+        mesh: ScriptedMesh,  # noqa: ARG001
+        borrower: loans.Borrower,
+    ) -> None:
+        host.timer.now_s += 1.98
+        assert take(borrower) is None
+
+    borrow(check)
+
+
+def test_bundle_with_lingering_keys_serves_one_request() -> None:
+    """Its link bytes still count when the next request would be sent."""
+
+    def check(
+        host: simulation.Host, mesh: ScriptedMesh, borrower: loans.Borrower
+    ) -> None:
+        assert take(borrower, body_bytes=21) is None
+        assert take(borrower, home="tartu") is None
+        permit = take(borrower)
+        assert permit is not None
+        borrower.end(permit, ended=COMPLETE, deadline_at_s=1e9)
+        assert mesh.sent == [(0.0, returned(1))]
+        assert host.timer.monotonic() == 1000.0
+
+    borrow(check, keys=("region:tallinn", "link:tartu>tallinn"))
+
+
+def test_orphaned_bundle_returns_after_the_deadline() -> None:
+    """The server may work on until the deadline plus the margin."""
+
+    def check(
+        host: simulation.Host,
+        mesh: ScriptedMesh,  # noqa: ARG001
+        borrower: loans.Borrower,
+    ) -> None:
+        for permit in (take(borrower), take(borrower)):
+            assert permit is not None
+            borrower.end(
+                permit,
+                ended=ORPHANED,
+                deadline_at_s=host.timer.monotonic() + 9.0,
+            )
+
+    sent = borrow(check)
+    assert sent == [(9.5, returned(1)), (9.5, returned(2))]
--- /dev/null
+++ b/tests/components/quota/test_seat_keeper.py
@@ -0,0 +1,276 @@
+"""Check seats and loans of several hosts together, from the outside."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import random
+
+import pytest
+
+from samphirelug.components.quota import model
+from samphirelug.components.quota import seats
+from tests.components.quota import simulation
+
+ZONES = {
+    "eh1": "tallinn-a",
+    "eh2": "tallinn-a",
+    "eh3": "tallinn-a",
+    "eh4": "tartu-a",
+    "eh5": "tartu-a",
+}
+REGION = "region:tallinn"
+
+
+def simulate(
+    scenario: Callable[[simulation.World], Coroutine[None, None, None]],
+    *,
+    seed: int = 0,
+    settings: model.SeatSettings = simulation.SETTINGS,
+) -> simulation.World:
+    """Run a scenario on a new world and return it."""
+
+    async def run() -> simulation.World:
+        world = simulation.World(seed=seed, settings=settings)
+        await scenario(world)
+        for host in world.hosts.values():
+            host.kill()
+        return world
+
+    return asyncio.run(run())
+
+
+def start_all(world: simulation.World) -> None:
+    for name, zone in ZONES.items():
+        world.start(name, zone)
+
+
+def shares(world: simulation.World, key: str = REGION) -> dict[str, int]:
+    return {
+        name: host.ledger.usable(key)
+        for name, host in world.hosts.items()
+        if not host.dead and host.ledger.usable(key)
+    }
+
+
+def stored_units(world: simulation.World, key: str = REGION) -> dict[str, int]:
+    value = world.objects["seats/region/tallinn"].value
+    table = seats.decode_table("region/tallinn", value).unwrap()
+    return {
+        name: seat.units[key]
+        for name, seat in table.seats.items()
+        if key in seat.units
+    }
+
+
+async def stop(world: simulation.World, host: simulation.Host) -> None:
+    """Stop a host as planned, after its requests have ended."""
+    host.demand = 0.0
+    await world.run(3.0)
+    if host.paused or host.dead:
+        return
+    task = asyncio.get_running_loop().create_task(host.keeper.give_up())
+    await world.run(8.0)
+    assert task.done()
+    host.kill()
+
+
+async def disturb(world: simulation.World, rng: random.Random) -> None:
+    """Repair some of what is broken, then break something."""
+    for name in sorted(world.hosts):
+        broken = world.hosts[name]
+        if rng.random() < 0.4 and broken.dead:
+            world.start(name, ZONES[name])
+        elif rng.random() < 0.3 and broken.paused:
+            broken.resume()
+    world.store_up = world.store_up or rng.random() < 0.4
+    host = world.hosts[rng.choice(sorted(world.hosts))]
+    action = rng.randrange(8)
+    if host.dead or host.paused:
+        return
+    if action == 0:
+        host.kill()
+    elif action == 1:
+        host.paused = True
+    elif action == 2:
+        host.cut_off = not host.cut_off
+    elif action == 3:
+        world.store_up = False
+    elif action == 4:
+        world.set_view(
+            simulation.make_view(rng.choice([3, 7, 14]), rng.choice([2, 5]))
+        )
+    elif action == 5:
+        world.failure_rate = rng.choice([0.0, 0.1, 0.4])
+    elif action == 6:
+        host.demand = rng.choice([0.0, 0.1, 1.0])
+    else:
+        await stop(world, host)
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_limits_hold_through_faults(seed: int) -> None:
+    """More use than a limit allows is caught at the dispatch."""
+
+    async def scenario(world: simulation.World) -> None:
+        rng = random.Random(seed)
+        start_all(world)
+        await world.run(10.0)
+        for _ in range(40):
+            await disturb(world, rng)
+            await world.run(rng.choice([0.5, 3.0, 10.0, 30.0]))
+
+    world = simulate(scenario, seed=seed)
+    # The check cannot bite unless hosts come near the limits.
+    assert world.dispatches > 150
+    assert world.loans > 10
+    assert world.peak[REGION] > 0.8
+
+
+def test_newcomer_gets_its_share_within_seconds() -> None:
+    """Without a prompt re-plan it would wait for renewals after 300 s."""
+
+    async def scenario(world: simulation.World) -> None:
+        for name in ("eh1", "eh2"):
+            world.start(name, ZONES[name])
+        await world.run(10.0)
+        assert sorted(shares(world).values()) == [3, 4]
+        for host in world.hosts.values():
+            # More than the hosts can serve: they are never idle.
+            host.demand, host.orphans = 1.0, 0.0
+        await world.run(60.0)
+        calls = world.calls
+        world.start("eh3", ZONES["eh3"]).orphans = 0.0
+        await world.run(10.0)
+        assert sorted(shares(world).values()) == [2, 2, 3]
+        # Ten calls for each of three hosts in each of three groups, one of
+        # which is the region without hosts.
+        assert world.calls - calls < 90
+        for host in world.hosts.values():
+            host.demand = 0.0
+        await world.run(60.0)
+        calls = world.calls
+        await world.run(900.0)
+        # At most five renewals, each a read and a write.
+        assert world.calls - calls <= 9 * 5 * 2
+
+    simulate(scenario, settings=model.SeatSettings())
+
+
+def test_planned_stop_returns_all_units() -> None:
+    """Units left behind would be out of use until the lease lapses."""
+
+    async def scenario(world: simulation.World) -> None:
+        start_all(world)
+        await world.run(10.0)
+        host = world.hosts["eh1"]
+        host.demand = 0.0
+        # Loans and orphaned requests last longer than the stop waits.
+        for other in world.hosts.values():
+            other.demand = 0.0
+        await world.run(40.0)
+        await stop(world, host)
+        assert "eh1" not in stored_units(world)
+        await world.run(10.0)
+        assert sorted(shares(world).values()) == [3, 4]
+
+    simulate(scenario, settings=model.SeatSettings())
+
+
+def test_restarted_host_takes_over_its_seat_after_the_longest_hold() -> None:
+    """Requests of the old process still run, and its lease is long."""
+
+    async def scenario(world: simulation.World) -> None:
+        start_all(world)
+        await world.run(10.0)
+        world.hosts["eh1"].kill()
+        world.start("eh1", ZONES["eh1"])
+        # 2 s of loan, 30.5 s of requests, 5 s of linger time.
+        await world.run(37.0)
+        assert "eh1" not in shares(world)
+        await world.run(4.0)
+        assert "eh1" in shares(world)
+
+    simulate(scenario, settings=model.SeatSettings())
+
+
+def test_same_name_at_another_address_waits_for_the_lease() -> None:
+    """A bind at another address does not prove the old process gone."""
+
+    async def scenario(world: simulation.World) -> None:
+        start_all(world)
+        await world.run(10.0)
+        world.hosts["eh1"].kill()
+        host = world.start("eh1", ZONES["eh1"])
+        host.keeper.host = host.identity._replace(peer_url="ws://127.0.0.2:1")
+        await world.run(56.0)
+        assert "eh1" not in shares(world)
+        await world.run(10.0)
+        assert "eh1" in shares(world)
+
+    simulate(scenario)
+
+
+def test_units_of_a_dead_host_return_after_lease_and_hold() -> None:
+    """Earlier its requests may run; never would lose the units."""
+
+    async def scenario(world: simulation.World) -> None:
+        start_all(world)
+        await world.run(10.0)
+        world.hosts["eh1"].kill()
+        await world.run(50.0)
+        assert "eh1" in stored_units(world)
+        await world.run(30.0)
+        assert sorted(stored_units(world).values()) == [3, 4]
+
+    simulate(scenario)
+
+
+def test_paused_holder_dispatches_nothing_after_its_lease() -> None:
+    """Others have its units by the time it wakes up."""
+
+    async def scenario(world: simulation.World) -> None:
+        start_all(world)
+        for host in world.hosts.values():
+            host.demand = 1.0
+        await world.run(10.0)
+        sleeper = world.hosts["eh1"]
+        sleeper.paused = True
+        await world.run(80.0)
+        before = world.dispatches
+        sleeper.resume()
+        assert world.dispatches == before
+
+    simulate(scenario)
+
+
+def test_outage_longer_than_the_lease_stops_and_recovers() -> None:
+    """Units are usable exactly while the lease lasts."""
+
+    async def scenario(world: simulation.World) -> None:
+        start_all(world)
+        await world.run(10.0)
+        world.store_up = False
+        world.set_view(simulation.make_view(3, 5))
+        await world.run(5.0)
+        assert 0 < sum(shares(world).values()) <= 3
+        await world.run(20.0)
+        assert not shares(world)
+        world.store_up = True
+        await world.run(10.0)
+        assert sum(shares(world).values()) == 3
+
+    simulate(scenario)
+
+
+def test_region_without_entry_hosts_is_used_by_the_nearest() -> None:
+    """Its backend servers would be unreachable otherwise."""
+
+    async def scenario(world: simulation.World) -> None:
+        world.start("eh1", ZONES["eh1"])
+        await world.run(5.0)
+        assert shares(world, "region:tartu") == {"eh1": 7}
+        world.start("eh4", ZONES["eh4"])
+        await world.run(60.0)
+        assert shares(world, "region:tartu") == {"eh4": 7}
+
+    simulate(scenario)
