--- a/src/samphirelug/components/commands/settings.py
+++ b/src/samphirelug/components/commands/settings.py
@@ -36,9 +36,9 @@
             return super().parse_args(ctx, args)
         except _USAGE_ERROR as error:
             line = " ".join(error.format_message().split())
-            param = getattr(error, "param", None)
-            if line.startswith("Missing") and param is not None:
-                line = f"{line} Allowed: {getattr(param, 'help', '')}"
+            missing = getattr(error, "param", None)
+            if line.startswith("Missing") and missing is not None:
+                line = f"{line} Allowed: {getattr(missing, 'help', '')}"
             typer.echo(f"samphirelug: {line}", err=True)
             raise typer.Exit(2) from None
 
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -133,7 +133,8 @@
     )
     print(out or err)
     if code != 0:
-        raise RuntimeError(f"catalogue apply ended with {code}: {out} {err}")
+        logs = "".join(running.log_text(name) for name in running.places)
+        raise RuntimeError(f"catalogue apply ended with {code}: {err}{logs}")
 
 
 async def send_requests(running: fleet.Fleet) -> None:
@@ -188,6 +189,9 @@
         code = asyncio.run(run_demo(program))
     except KeyboardInterrupt:
         code = 130
+    except RuntimeError as error:
+        print(error, file=sys.stderr)
+        code = 1
     raise typer.Exit(code)
 
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -19,6 +20,7 @@
 
 SECRET = "only-for-processes-on-loopback"
 READY_TIMEOUT_S = 20.0
+PORT_RANGE = (12_000, 32_000)
 POLL_INTERVAL_S = 0.05
 
 
@@ -39,12 +41,22 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that nothing listens on at the moment."""
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
-        return [int(each.getsockname()[1]) for each in sockets]
+    """Return ports that nothing listens on at the moment.
+
+    They lie below the range that the system gives to outgoing connections,
+    one of which could otherwise take the port before a process binds it.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.SystemRandom().randrange(*PORT_RANGE)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
+    return ports
 
 
 class Fleet:
