Test the catalogue's state, sync and writer under schedules of faults

Cause: versions must never go back and a lost answer must mean one new version and one success; both depend on the order of events.

Ruled out: examples alone, since the faults meet in any order.

Change: a cluster of hosts on a manual clock with partitions, mute peers, restarts, stale reads and skipped watch answers; two operators against planned faults of writes; the stand-in's stale reads cover watches too.

--- a/src/samphirelug/components/catalogue/schema.py
+++ b/src/samphirelug/components/catalogue/schema.py
@@ -33,6 +33,14 @@
 
 _ENTRY: pydantic.TypeAdapter[Entry] = pydantic.TypeAdapter(model.Entry)
 
+# Includes the fields that may be absent.
+_FIELDS: Mapping[str, tuple[str, ...]] = {
+    "region": tuple(model.RegionEntry.__annotations__),
+    "link": tuple(model.LinkEntry.__annotations__),
+    "backend-service": tuple(model.BackendServiceEntry.__annotations__),
+    "work": tuple(model.WorkEntry.__annotations__),
+}
+
 
 def entry_key(entry: Entry) -> str:
     """Return the entry's key, <kind>/<name>."""
@@ -66,7 +74,9 @@
         return Failure("; ".join(_describe(error, document)))
     faults = list(_own_faults(entry))
     if not allow_unknown:
-        faults.extend(_unknown_fields(document, entry, ""))
+        faults.extend(
+            _unknown_fields(document, entry, "", _FIELDS[entry["kind"]])
+        )
     if faults:
         return Failure("; ".join(faults))
     return Success(entry)
@@ -119,14 +129,14 @@
 
 
 def _unknown_fields(
-    document: object, checked: object, path: str
+    document: object, checked: object, path: str, allowed: Iterable[str] = ()
 ) -> Iterator[str]:
     if isinstance(document, Mapping) and isinstance(checked, Mapping):
         for name, value in document.items():
             if name not in checked:
                 yield (
                     f"{path}{name}: is {_show(value)}; allowed fields:"
-                    f" {', '.join(checked)}"
+                    f" {', '.join(allowed or checked)}"
                 )
             else:
                 yield from _unknown_fields(
--- a/src/samphirelug/components/catalogue/sync.py
+++ b/src/samphirelug/components/catalogue/sync.py
@@ -116,11 +116,18 @@
             START_GRACE_S + self.rng.uniform(0.0, START_JITTER_S)
         )
         patience_s = self._patience_s()
+        tried_at_s = self.started_at_s
         while True:
             if self.is_watcher():
                 await self._watch()
-            elif self.timer.monotonic() - self.heard_at_s > patience_s:
+            elif (
+                self.timer.monotonic() - max(self.heard_at_s, tried_at_s)
+                > patience_s
+            ):
+                # Also after a failure it waits as long again: most hosts do
+                # not watch, and all would retry at a store that is down.
                 patience_s = self._patience_s()
+                tried_at_s = self.timer.monotonic()
                 await self._read_store()
             else:
                 await self.timer.sleep(PULL_INTERVAL_S)
--- a/src/samphirelug/components/commands/settings.py
+++ b/src/samphirelug/components/commands/settings.py
@@ -36,9 +36,9 @@
             return super().parse_args(ctx, args)
         except _USAGE_ERROR as error:
             line = " ".join(error.format_message().split())
-            param = getattr(error, "param", None)
-            if line.startswith("Missing") and param is not None:
-                line = f"{line} Allowed: {getattr(param, 'help', '')}"
+            at_fault = getattr(error, "param", None)
+            if line.startswith("Missing") and at_fault is not None:
+                line = f"{line} Allowed: {getattr(at_fault, 'help', '')}"
             typer.echo(f"samphirelug: {line}", err=True)
             raise typer.Exit(2) from None
 
--- a/standins/store.py
+++ b/standins/store.py
@@ -47,7 +47,7 @@
     lose_answers: int
     # This many next writes are dropped before they take effect.
     lose_requests: int
-    # Lists and reads answer as of this many revisions ago.
+    # Reads, lists and watches answer as of this many revisions ago.
     stale_by: int
     # This many next watch answers leave out their objects.
     skip_watch_answers: int
@@ -96,23 +96,12 @@
         self.waiters: set[asyncio.Future[None]] = set()
 
     def get(self, key: str) -> model.StoredObject | None:
-        """Return the object, as of the stale revision where one is set."""
-        if not self.faults.stale_by:
-            return self.objects.get(key)
-        return self._as_of(self.revision - self.faults.stale_by).get(key)
+        """Return an object."""
+        return self._visible().get(key)
 
     def list(self, prefix: str) -> model.Listing:
         """Return the objects under a prefix."""
-        revision = max(0, self.revision - self.faults.stale_by)
-        objects = (
-            self._as_of(revision) if self.faults.stale_by else self.objects
-        )
-        return model.Listing(
-            revision,
-            tuple(
-                objects[key] for key in sorted(objects) if _under(key, prefix)
-            ),
-        )
+        return self.changes(prefix, 0)
 
     def put(
         self, key: str, value: Mapping[str, Any], expected_revision: int
@@ -133,18 +122,14 @@
 
     def changes(self, prefix: str, after: int) -> model.Listing:
         """Return the objects whose last write is after the revision."""
+        found = [
+            item
+            for item in self._visible().values()
+            if item.revision > after and item.key.startswith(prefix)
+        ]
+        found.sort(key=lambda item: item.revision)
         return model.Listing(
-            self.revision,
-            tuple(
-                sorted(
-                    (
-                        item
-                        for item in self.objects.values()
-                        if item.revision > after and _under(item.key, prefix)
-                    ),
-                    key=lambda item: item.revision,
-                )
-            ),
+            max(0, self.revision - self.faults.stale_by), tuple(found)
         )
 
     async def watch(
@@ -187,7 +172,11 @@
             timeout.cancel()
             self.waiters.discard(waiter)
 
-    def _as_of(self, revision: int) -> dict[str, model.StoredObject]:
+    def _visible(self) -> dict[str, model.StoredObject]:
+        """Return what reads see, which may be stale."""
+        if not self.faults.stale_by:
+            return self.objects
+        revision = self.revision - self.faults.stale_by
         return {
             item.key: item
             for item in self.history
@@ -195,10 +184,6 @@
         }
 
 
-def _under(key: str, prefix: str) -> bool:
-    return key.startswith(prefix)
-
-
 class FakeObjectStore(object_store.ObjectStore):
     """Offer one client's view of a store core in the same process.
 
--- a/tests/components/catalogue/cluster.py
+++ b/tests/components/catalogue/cluster.py
@@ -45,7 +45,8 @@
     ) -> Result[peers_model.Message, result_codes.Refusal]:
         """Call the peer's handler."""
         answer = None
-        if self.cluster.connected(self.name, host):
+        reachable = self.cluster.connected(self.name, host)
+        if reachable and host not in self.cluster.mute:
             mesh = self.cluster.hosts[host].mesh
             answer = await mesh.handlers[type(message)](self.name, message)
         if answer is None:
@@ -55,7 +56,6 @@
                     result_codes.ResultCode.PEER_UNREACHABLE, host
                 )
             )
-        self.cluster.seen_messages.append(answer)
         return Success(answer)
 
     def send(self, host: str, message: peers_model.Message) -> None:
@@ -126,7 +126,8 @@
         self.rng = random.Random(seed)
         self.hosts: dict[str, Host] = {}
         self.cut_off: set[str] = set()
-        self.seen_messages: list[peers_model.Message] = []
+        # Hosts that send heartbeats but do not answer.
+        self.mute: set[str] = set()
         self.next_beat_s = 0.0
 
     def connected(self, name: str, other: str) -> bool:
--- /dev/null
+++ b/tests/components/catalogue/test_schema.py
@@ -0,0 +1,140 @@
+"""Test what is refused in entries and between them."""
+
+from typing import Any
+
+import pytest
+from returns.result import Failure
+from returns.result import Success
+from syrupy.assertion import SnapshotAssertion
+
+from samphirelug.components.catalogue import codec
+from samphirelug.components.catalogue import schema
+from samphirelug.components.store import model as store_model
+from samphirelug import core
+from tests import builders
+
+
+def entries_of_small_view() -> dict[str, schema.Entry]:
+    view = builders.make_view()
+    entries: list[schema.Entry] = [
+        *view.regions.values(),
+        *view.links.values(),
+        *view.services.values(),
+        *view.works.values(),
+    ]
+    return {schema.entry_key(entry): entry for entry in entries}
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"deadline_s": 31},
+        {"deadline_s": "10"},
+        {"max_in_flight_per_region": True},
+        {"work_class": "gold"},
+        {"owner": None},
+        {"kind": "queue"},
+        {"name": "A b"},
+        {"regions": []},
+        {"region": ["tallinn"]},
+        {"repeatable": "x" * 200},
+    ],
+    ids=lambda change: next(iter(change)),
+)
+def test_refusal_names_field_value_and_what_is_allowed(
+    change: dict[str, Any], snapshot: SnapshotAssertion
+) -> None:
+    """Guard against an error text that hides what to correct."""
+    work = builders.make_work("w", work_class=core.WorkClass.STATUS)
+    result = schema.read_entry({**work, **change}, allow_unknown=False)
+    assert isinstance(result, Failure)
+    assert result.failure() == snapshot
+
+
+def test_faults_within_an_entry() -> None:
+    """Guard against servers that shadow each other and bad ports."""
+    service = builders.make_service("s", zones=["a", "a"])
+    service["servers"][0]["address"] = "127.0.0.1:70000"
+    text = schema.read_entry(service, allow_unknown=False).failure()
+    assert "servers.name: has 's-a-0' 2 times" in text
+    assert "servers.0.address: is '127.0.0.1:70000'" in text
+    link = builders.make_link("a", "a")
+    text = schema.read_entry(link, allow_unknown=False).failure()
+    assert "regions: has 'a' 2 times" in text
+    too_long = {**link, "owner": "x" * schema.MAX_ENTRY_BYTES}
+    assert "bytes" in schema.read_entry(too_long, allow_unknown=True).failure()
+    for document in ("text", None, {1, 2}):
+        assert isinstance(
+            schema.read_entry(document, allow_unknown=True), Failure
+        )
+
+
+def test_hosts_accept_fields_of_a_newer_release() -> None:
+    """Guard against hosts that refuse entries during a rolling upgrade."""
+    work = builders.make_work("w", work_class=core.WorkClass.STATUS)
+    result = schema.read_entry({**work, "later": 1}, allow_unknown=True)
+    assert result == Success(work)
+
+
+def test_references_between_entries() -> None:
+    """Guard against a catalogue whose references lead nowhere."""
+    entries = entries_of_small_view()
+    assert schema.problems(entries) == ()
+    for key in ("region/tartu", "backend-service/filing"):
+        rest = {name: it for name, it in entries.items() if name != key}
+        assert schema.new_problems(entries, rest)
+        # A problem that was there before does not block other changes.
+        assert schema.new_problems(rest, rest) == ()
+    second = builders.make_service("fees", zones=["tartu-a"], per_zone=1)
+    second["servers"][0]["name"] = "filing-tartu-a-0"
+    limited = builders.make_work("l", work_class=core.WorkClass.STATUS)
+    limited["backend_service"] = "fees"
+    limited["regions"] = ["parnu", "oslo"]
+    other = builders.make_link("tartu", "tallinn")
+    region = builders.make_region("narva")
+    region["availability_zones"] = ["tartu", "parnu-a"]
+    found = schema.problems(
+        {
+            **entries,
+            "backend-service/fees": second,
+            "work/l": limited,
+            "link/tartu-tallinn": other,
+            "region/narva": region,
+        }
+    )
+    text = "\n".join(found)
+    for part in (
+        "servers.name: 'filing-tartu-a-0' is also in backend-service/filing",
+        "servers.address: '127.0.0.1:9000' is also in",
+        "no region 'oslo'",
+        "at least one region in which 'fees' has a server",
+        "are also linked by link/tallinn-tartu",
+        "'tartu' is also the name of region/tartu",
+        "'parnu-a' is also in region/parnu",
+    ):
+        assert part in text
+
+
+@pytest.mark.parametrize(
+    ("value", "reason"),
+    [
+        ({}, "change_id"),
+        ({"change_id": "c", "deleted": 1, "entry": None}, "deleted"),
+        ({"change_id": "c", "deleted": False, "entry": None}, "kind"),
+    ],
+)
+def test_object_that_is_not_valid(value: dict[str, Any], reason: str) -> None:
+    """Guard against an object body that stops the synchronisation."""
+    stored = store_model.StoredObject("catalogue/work/w", 1, value)
+    assert reason in codec.decode_object(stored).failure()
+
+
+def test_object_under_another_name() -> None:
+    """Guard against an entry that replaces one of another name."""
+    work = builders.make_work("v", work_class=core.WorkClass.STATUS)
+    body = codec.encode_body(change_id="c", entry=work)
+    stored = store_model.StoredObject("catalogue/work/w", 1, dict(body))
+    assert "allowed: 'work/w'" in codec.decode_object(stored).failure()
+    assert codec.decode_object(
+        stored._replace(key="catalogue/work/v")
+    ).unwrap() == ("work/v", 1, "c", work)
--- /dev/null
+++ b/tests/components/catalogue/test_state.py
@@ -0,0 +1,170 @@
+"""Test that the applied catalogue only moves forward."""
+
+from hypothesis import given
+from hypothesis import strategies
+
+from samphirelug.components.catalogue import codec
+from samphirelug.components.catalogue import model
+from samphirelug.components.catalogue import schema
+from samphirelug.components.catalogue import state as catalogue_state
+from samphirelug.components.store import model as store_model
+from samphirelug import core
+from standins import store as store_standin
+from tests import builders
+
+KEYS = ("work/a", "work/b", "work/c")
+
+
+def write(
+    store: store_standin.StoreCore, key: str, *, valid: bool, deleted: bool
+) -> None:
+    name = key.partition("/")[2]
+    entry = builders.make_work(name, work_class=core.WorkClass.STATUS)
+    entry["max_in_flight_per_region"] = store.revision + 1
+    body = codec.encode_body(
+        change_id=str(store.revision), entry=None if deleted else entry
+    )
+    if not valid:
+        body["entry"] = {"kind": "work", "name": name}
+        body["deleted"] = False
+    stored = store.objects.get(f"catalogue/{key}")
+    store.put(f"catalogue/{key}", dict(body), stored.revision if stored else 0)
+
+
+def latest_valid(
+    store: store_standin.StoreCore, key: str, up_to: int
+) -> model.CatalogueObject | None:
+    found = None
+    for item in store.history:
+        if item.key == f"catalogue/{key}" and item.revision <= up_to:
+            found = codec.decode_object(item).value_or(None) or found
+    return found
+
+
+@given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(["write", "list", "watch", "peer"]),
+            strategies.integers(0, 2),
+            strategies.integers(0, 12),
+            strategies.booleans(),
+            strategies.booleans(),
+        ),
+        max_size=60,
+    )
+)
+def test_versions_never_go_back(
+    steps: list[tuple[str, int, int, bool, bool]],
+) -> None:
+    """Guard against old news, stale lists and gaps that revert an entry.
+
+    Sources are stale by any number of revisions and come in any order.
+    """
+    store = store_standin.StoreCore()
+    states = [catalogue_state.CatalogueState() for _ in range(3)]
+    before: list[dict[str, int]] = [{} for _ in states]
+    for step, who, age, valid, deleted in steps:
+        state = states[who]
+        after = max(0, state.position - age)
+        if step == "write":
+            write(store, KEYS[who], valid=valid, deleted=deleted)
+        elif step == "list":
+            store.faults.stale_by = age
+            state.apply_listing(store.list(codec.PREFIX))
+        elif step == "watch":
+            # An answer may also start beyond the position.
+            start = after if valid else state.position + age
+            state.apply_watch(store.changes(codec.PREFIX, start), start)
+        else:
+            other = states[(who + 1) % 3]
+            start = after if valid else state.position + age
+            state.apply_delta(other.delta_since(start))
+        for known, each in zip(before, states, strict=True):
+            found = {key: it.revision for key, it in each.objects.items()}
+            found["position"] = each.position
+            assert all(found[key] >= known[key] for key in known)
+            known.update(found)
+            works = each.view.works
+            for key, item in each.objects.items():
+                name = key.partition("/")[2]
+                assert works.get(name) == item.entry
+    store.faults.stale_by = 0
+    for state in states:
+        state.apply_listing(store.list(codec.PREFIX))
+        assert state.position == store.revision
+        for key in KEYS:
+            newest = latest_valid(store, key, store.revision)
+            stored = store.objects.get(f"catalogue/{key}")
+            if newest is not None and newest.revision == stored_at(stored):
+                assert state.objects[key] == newest
+                assert key not in state.rejected
+            elif stored is not None:
+                assert key in state.rejected
+
+
+def stored_at(stored: store_model.StoredObject | None) -> int:
+    return stored.revision if stored else 0
+
+
+def test_invalid_entry_leaves_the_former_version_in_force() -> None:
+    """Guard against an entry that vanishes when its update is not valid."""
+    store = store_standin.StoreCore()
+    calls: list[int] = []
+    state = catalogue_state.CatalogueState(
+        on_change=lambda: calls.append(state.position)
+    )
+    write(store, "work/a", valid=True, deleted=False)
+    state.apply_watch(store.changes(codec.PREFIX, 0), 0)
+    write(store, "work/a", valid=False, deleted=False)
+    assert state.apply_watch(store.changes(codec.PREFIX, 1), 1)
+    assert state.position == 2
+    assert state.view.works["a"]["max_in_flight_per_region"] == 1
+    assert "owner: is missing" in state.rejected["work/a"]
+    peer = catalogue_state.CatalogueState()
+    peer.apply_delta(state.delta_since(0))
+    assert (peer.position, list(peer.view.works)) == (2, ["a"])
+    write(store, "work/a", valid=True, deleted=True)
+    state.apply_watch(store.changes(codec.PREFIX, 2), 2)
+    assert (dict(state.rejected), state.view.works) == ({}, {})
+    assert calls == [1, 3]
+
+
+def test_large_delta_comes_in_parts() -> None:
+    """Guard against a delta above the limit of a peer message."""
+    store = store_standin.StoreCore()
+    for name in "abcde":
+        entry = builders.make_work(name, work_class=core.WorkClass.STATUS)
+        entry["owner"] = "x" * (schema.MAX_ENTRY_BYTES // 2)
+        body = codec.encode_body(change_id=name, entry=entry)
+        store.put(f"catalogue/work/{name}", dict(body), 0)
+    state = catalogue_state.CatalogueState()
+    state.apply_listing(store.list(codec.PREFIX))
+    peer = catalogue_state.CatalogueState()
+    parts = 0
+    while peer.position < state.position:
+        delta = state.delta_since(peer.position)
+        assert len(delta.objects) <= 2
+        assert peer.apply_delta(delta)
+        parts += 1
+    assert parts > 2
+    assert peer.objects == state.objects
+
+
+def test_left_out_change_is_repaired_and_passed_on() -> None:
+    """Guard against a skipped change that no later answer brings back."""
+    store = store_standin.StoreCore()
+    for key in KEYS:
+        write(store, key, valid=True, deleted=False)
+    full = store.changes(codec.PREFIX, 0)
+    skipped = full._replace(objects=(full.objects[0], full.objects[2]))
+    state = catalogue_state.CatalogueState()
+    state.apply_watch(skipped, 0)
+    peer = catalogue_state.CatalogueState()
+    peer.apply_delta(state.delta_since(0))
+    assert state.take_repair() is None
+    state.apply_watch(full, 0)
+    repair = state.take_repair()
+    assert repair is not None
+    peer.apply_delta(repair)
+    assert peer.objects == state.objects
+    assert state.take_repair() is None
--- /dev/null
+++ b/tests/components/catalogue/test_writer.py
@@ -0,0 +1,324 @@
+"""Test that operators' changes take effect exactly once, or truthfully not."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Mapping
+import itertools
+from typing import Any
+from typing import TypeVar
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+from returns.result import Failure
+from returns.result import Result
+
+from samphirelug.components.catalogue import codec
+from samphirelug.components.catalogue import schema
+from samphirelug.components.catalogue import writer as catalogue_writer
+from samphirelug.components.store import model as store_model
+from samphirelug import core
+from samphirelug.helpers import timer as timer_helper
+from samphirelug import result_codes
+from standins import store as store_standin
+from tests import builders
+
+Value = TypeVar("Value")
+CODES = result_codes.ResultCode
+OUTCOMES = catalogue_writer.EntryOutcome
+FAULTS = ("none", "lose_answer", "lose_request", "late", "unsent", "dead")
+
+
+class FaultyStore(store_standin.FakeObjectStore):
+    """Meet each write of one operator with the next planned fault."""
+
+    def __init__(
+        self,
+        *,
+        store: store_standin.StoreCore,
+        timer: timer_helper.TimerService,
+        plan: list[str],
+    ) -> None:
+        super().__init__(core=store, timer=timer)
+        self.plan = iter(plan)
+
+    async def put(
+        self, key: str, value: Mapping[str, Any], *, expected_revision: int
+    ) -> Result[store_model.StoredObject, result_codes.Refusal]:
+        """Write with the planned fault."""
+        fault = next(self.plan, "none")
+        if fault == "unsent":
+            return Failure(
+                result_codes.Refusal(CODES.STORE_UNAVAILABLE, "refused")
+            )
+        if fault == "late":
+            # The client gives up; the store has the call only later.
+            self.timer.call_at(
+                when_s=self.timer.monotonic() + 0.25,
+                callback=lambda: (
+                    self.core.put(key, value, expected_revision) and None
+                ),
+            )
+        elif fault != "lose_request":
+            answer = await super().put(
+                key, value, expected_revision=expected_revision
+            )
+            if fault == "none":
+                return answer
+        if fault == "dead":
+            self.reachable = False
+        return Failure(
+            result_codes.Refusal(CODES.STORE_OUTCOME_UNKNOWN, "lost")
+        )
+
+
+def make_writer(
+    store: store_standin.StoreCore,
+    timer: timer_helper.TimerService,
+    name: str,
+    plan: list[str] | None = None,
+) -> catalogue_writer.CatalogueWriter:
+    numbers = itertools.count()
+    return catalogue_writer.CatalogueWriter(
+        store=FaultyStore(store=store, timer=timer, plan=plan or []),
+        timer=timer,
+        new_change_id=lambda: f"{name}-{next(numbers)}",
+    )
+
+
+async def drive(
+    timer: timer_helper.ManualTimerService, *work: Awaitable[Value]
+) -> list[Value]:
+    tasks = [asyncio.ensure_future(item) for item in work]
+    while not all(task.done() for task in tasks):
+        for _ in range(8):
+            await asyncio.sleep(0)
+        timer.advance(0.05)
+    return [task.result() for task in tasks]
+
+
+def run(
+    store: store_standin.StoreCore,
+    wanted: Mapping[str, schema.Entry | None],
+    *,
+    plan: list[str] | None = None,
+    expected: Mapping[str, int] | None = None,
+) -> catalogue_writer.ApplyReport:
+    async def body() -> catalogue_writer.ApplyReport:
+        timer = timer_helper.ManualTimerService()
+        writer = make_writer(store, timer, "op", plan)
+        return (await drive(timer, writer.apply(wanted, expected=expected)))[0]
+
+    return asyncio.run(body())
+
+
+def make_work(cap: int) -> schema.Entry:
+    work = builders.make_work("w", work_class=core.WorkClass.STATUS)
+    work["max_in_flight_per_region"] = cap
+    return work
+
+
+def small_catalogue() -> dict[str, schema.Entry | None]:
+    view = builders.make_view()
+    entries: list[schema.Entry] = [
+        *view.works.values(),
+        *view.services.values(),
+        *view.links.values(),
+        *view.regions.values(),
+    ]
+    return {schema.entry_key(entry): entry for entry in entries}
+
+
+def keys_by(
+    report: catalogue_writer.ApplyReport, outcome: OUTCOMES
+) -> list[str]:
+    return [item.key for item in report.entries if item.outcome is outcome]
+
+
+PLANS = strategies.lists(strategies.sampled_from(FAULTS), max_size=4)
+
+
+@settings(max_examples=300, deadline=None)
+@given(PLANS, PLANS, strategies.integers(0, 20), strategies.booleans())
+def test_two_operators_and_lost_answers(
+    first: list[str], second: list[str], delay: int, deleting: bool
+) -> None:
+    """Guard against a write that takes effect twice or is lost in silence.
+
+    Both operators change the entry from the same revision, so at most one
+    change takes effect, and each operator is told what became of its own.
+    """
+    store = store_standin.StoreCore()
+    run(store, {**small_catalogue(), "work/w": make_work(1)})
+    start = store.revision
+    expected = {"work/w": store.objects["catalogue/work/w"].revision}
+
+    async def body() -> list[catalogue_writer.ApplyReport]:
+        timer = timer_helper.ManualTimerService()
+        store.faults.delay_s = 0.07
+
+        async def late() -> catalogue_writer.ApplyReport:
+            await timer.sleep(delay * 0.05)
+            return await make_writer(store, timer, "b", second).apply(
+                {"work/w": None if deleting else make_work(3)},
+                expected=expected,
+            )
+
+        reports = await drive(
+            timer,
+            make_writer(store, timer, "a", first).apply(
+                {"work/w": make_work(2)}, expected=expected
+            ),
+            late(),
+        )
+        timer.advance(5.0)
+        return reports
+
+    reports = asyncio.run(body())
+    written = [
+        str(item.value["change_id"])
+        for item in store.history
+        if item.revision > start
+    ]
+    assert len(written) <= 1
+    for name, report in zip("ab", reports, strict=True):
+        mine = written == [f"{name}-0"]
+        outcome = report.entries[0].outcome
+        code = report.refusal.code if report.refusal else CODES.OK
+        if outcome is OUTCOMES.APPLIED:
+            assert code is CODES.OK
+            assert mine
+            assert report.revision == store.revision
+        elif outcome is OUTCOMES.NOT_APPLIED:
+            assert code in (CODES.CATALOGUE_CONFLICT, CODES.STORE_UNAVAILABLE)
+            assert not mine
+        else:
+            assert code is CODES.STORE_OUTCOME_UNKNOWN
+    if not {"dead", "unsent"} & {*first, *second}:
+        # With a store that can be read, nobody is left in doubt.
+        codes = sorted(
+            report.refusal.code if report.refusal else CODES.OK
+            for report in reports
+        )
+        assert codes == [CODES.OK, CODES.CATALOGUE_CONFLICT]
+
+
+def test_conflict_shows_both_versions() -> None:
+    """Guard against a conflict that hides the other operator's change."""
+    store = store_standin.StoreCore()
+    run(store, {**small_catalogue(), "work/w": make_work(1)})
+    base = store.objects["catalogue/work/w"].revision
+    run(store, {"work/w": make_work(2)})
+    report = run(store, {"work/w": make_work(3)}, expected={"work/w": base})
+    assert report.refusal is not None
+    assert report.refusal.code is CODES.CATALOGUE_CONFLICT
+    assert "max_in_flight_per_region: 2" in report.refusal.detail
+    assert "max_in_flight_per_region: 3" in report.refusal.detail
+    report = run(store, {"work/w": None}, expected={"work/w": base})
+    assert report.refusal is not None
+    assert "(deleted)" in report.refusal.detail
+
+
+def test_file_is_applied_in_an_order_of_references() -> None:
+    """Guard against an entry whose references are not there yet."""
+    store = store_standin.StoreCore()
+    wanted = small_catalogue()
+    report = run(store, wanted)
+    assert report.refusal is None
+    assert set(keys_by(report, OUTCOMES.APPLIED)) == wanted.keys()
+    entries: dict[str, schema.Entry] = {}
+    for stored in store.history:
+        item = codec.decode_object(stored).unwrap()
+        assert item.entry is not None
+        entries[item.key] = item.entry
+        assert schema.problems(entries) == ()
+    again = run(store, wanted)
+    assert set(keys_by(again, OUTCOMES.UNCHANGED)) == wanted.keys()
+    assert store.revision == len(wanted)
+    # Deletions go the other way round.
+    report = run(store, dict.fromkeys(wanted))
+    assert report.refusal is None
+    for stored in list(store.history)[len(wanted) :]:
+        entries.pop(codec.decode_object(stored).unwrap().key)
+        assert schema.problems(entries) == ()
+
+
+def test_server_moves_between_services_in_one_file() -> None:
+    """Guard against an order by kind alone, which adds before it removes."""
+    store = store_standin.StoreCore()
+    entries = small_catalogue()
+    fees = builders.make_service("fees", zones=["tartu-a"], per_zone=2)
+    for place, server in enumerate(fees["servers"]):
+        server["address"] = f"127.0.0.2:{9000 + place}"
+    run(store, {**entries, "backend-service/fees": fees})
+    filing = entries["backend-service/filing"]
+    assert filing is not None
+    assert filing["kind"] == "backend-service"
+    moved = fees["servers"][0]
+    report = run(
+        store,
+        {
+            "backend-service/filing": {
+                **filing,
+                "servers": [*filing["servers"], moved],
+            },
+            "backend-service/fees": {**fees, "servers": fees["servers"][1:]},
+        },
+    )
+    assert report.refusal is None
+    assert keys_by(report, OUTCOMES.APPLIED) == [
+        "backend-service/fees",
+        "backend-service/filing",
+    ]
+
+
+def test_deletion_of_something_referenced_is_refused() -> None:
+    """Guard against work that is left without its service."""
+    store = store_standin.StoreCore()
+    run(store, small_catalogue())
+    before = store.revision
+    for key in ("backend-service/filing", "region/tallinn"):
+        report = run(store, {key: None})
+        assert report.refusal is not None
+        assert report.refusal.code is CODES.CATALOGUE_INVALID
+    report = run(store, {"work/none": None})
+    assert report.refusal is not None
+    assert report.refusal.code is CODES.OBJECT_NOT_FOUND
+    assert store.revision == before
+
+
+def test_stop_in_between_says_what_took_effect() -> None:
+    """Guard against an operator who cannot tell how far a file got."""
+    store = store_standin.StoreCore()
+    wanted = small_catalogue()
+    report = run(store, wanted, plan=["none", "none", "dead"])
+    assert report.refusal is not None
+    assert report.refusal.code is CODES.STORE_OUTCOME_UNKNOWN
+    assert len(keys_by(report, OUTCOMES.APPLIED)) == 2
+    assert len(keys_by(report, OUTCOMES.UNKNOWN)) == 1
+    assert len(keys_by(report, OUTCOMES.NOT_APPLIED)) == len(wanted) - 3
+    # The same file again completes the change.
+    assert run(store, wanted).refusal is None
+    assert store.revision == len(wanted)
+
+
+def test_concurrent_deletion_is_reported() -> None:
+    """Guard against a reference that another operator has just broken."""
+    store = store_standin.StoreCore()
+    entries = small_catalogue()
+    run(store, {k: it for k, it in entries.items() if "work/" not in k})
+
+    async def body() -> list[catalogue_writer.ApplyReport]:
+        timer = timer_helper.ManualTimerService()
+        store.faults.delay_s = 0.07
+        return await drive(
+            timer,
+            make_writer(store, timer, "a").apply({"work/w": make_work(1)}),
+            make_writer(store, timer, "b").apply(
+                {"backend-service/filing": None}
+            ),
+        )
+
+    reports = asyncio.run(body())
+    assert all(report.refusal is None for report in reports)
+    assert any("no backend service" in str(it.warnings) for it in reports)
