--- /dev/null
+++ b/tests/components/commands/test_lookup.py
@@ -0,0 +1,44 @@
+"""Test the look-up command."""
+
+import json
+
+from tests.components.commands import conftest
+
+PATH = "/v1/lookup/case-status?from=tartu-a"
+ANSWER = {
+    "work": "case-status",
+    "rank": "interactive",
+    "keep_s": 10.0,
+    "entry_hosts": [
+        {
+            "name": "eh1",
+            "availability_zone": "tartu-a",
+            "region": "tartu",
+            "url": "http://127.0.0.1:80",
+        }
+    ],
+    "run_token": "t",
+}
+
+
+def test_lookup(servers: conftest.Servers) -> None:
+    """Guard against a command that gives up at the first dead host."""
+    ask = (
+        *("lookup", "case-status", "--from", "tartu-a"),
+        *("--caller-url", "http://127.0.0.1:1"),
+        *("--caller-url", servers.host.url),
+    )
+    servers.host.answers[PATH] = (200, ANSWER)
+    result = servers.run(*ask, "--json")
+    assert result.exit_code == 0
+    assert json.loads(result.stdout) == ANSWER
+    assert "eh1   tartu-a" in servers.run(*ask).stdout
+    servers.host.answers[PATH] = (
+        404,
+        {"code": 1002, "name": "UNKNOWN_WORK", "detail": "no such work"},
+    )
+    result = servers.run(*ask)
+    assert result.exit_code == 1
+    assert "UNKNOWN_WORK (1002)" in result.stderr
+    servers.host.answers[PATH] = (500, [])
+    assert servers.run(*ask).exit_code == 8
