--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the system on one machine; docs/measurements.md has figures."""
--- a/src/samphirelug/components/gateway/io_server.py
+++ b/src/samphirelug/components/gateway/io_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import socket
+from typing import Any
 
 from tornado import httpserver
 from tornado import httputil
@@ -28,20 +29,34 @@
     ) -> None:
         self.service = service
         self.rank = rank
-        self.connections: set[object] = set()
 
     def start_request(
-        self, server_conn: object, request_conn: httputil.HTTPConnection
+        self,
+        server_conn: object,  # noqa: ARG002
+        request_conn: httputil.HTTPConnection,
     ) -> httputil.HTTPMessageDelegate:
         """Return the exchange that handles the next request."""
-        self.connections.add(server_conn)
         return exchange.CallerExchange(
             service=self.service, rank=self.rank, connection=request_conn
         )
 
+
+class CountingServer(httpserver.HTTPServer):
+    """Count open connections; HTTPServer tells its delegate of no close."""
+
+    open_connections = 0
+
+    def handle_stream(
+        self, stream: iostream.IOStream, address: tuple[Any, ...]
+    ) -> None:
+        """Serve an accepted connection."""
+        self.open_connections += 1
+        super().handle_stream(stream, address)
+
     def on_close(self, server_conn: object) -> None:
         """Forget a closed connection."""
-        self.connections.discard(server_conn)
+        self.open_connections -= 1
+        super().on_close(server_conn)
 
 
 class RankListener:
@@ -58,7 +73,7 @@
         """Accept connections on the running loop."""
         self.service = service
         self.delegate = RankDelegate(service=service, rank=self.rank)
-        self.server = httpserver.HTTPServer(
+        self.server = CountingServer(
             self.delegate,
             idle_connection_timeout=gateway_const.IDLE_TIMEOUT_S,
             body_timeout=gateway_const.BODY_TIMEOUT_S,
@@ -104,7 +119,7 @@
 
     def _is_full(self) -> bool:
         limit = gateway_const.MAX_CONNECTIONS[self.rank]
-        return len(self.delegate.connections) >= limit
+        return self.server.open_connections >= limit
 
     def _refuse(self, connection: socket.socket) -> None:
         code = result_codes.ResultCode.TOO_MANY_CONNECTIONS
--- /dev/null
+++ b/tests/components/gateway/test_io_server.py
@@ -0,0 +1,84 @@
+"""Test the listeners for callers over real connections."""
+
+import asyncio
+import json
+from typing import Any
+
+from tornado import httpclient
+
+from samphirelug.components.gateway import const as gateway_const
+from samphirelug.components.gateway import io_server
+from samphirelug.components.metrics import registry
+from samphirelug import core
+from samphirelug.helpers import timer
+from samphirelug import result_codes
+
+
+class RefusingService:
+    """Refuse every request, and count what the listener counts."""
+
+    def __init__(self) -> None:
+        self.metrics = registry.Metrics()
+        self.timer = timer.LoopTimerService()
+        self.in_flight = 0
+        self.buffered_bytes = 0
+
+
+def make_listener() -> io_server.RankListener:
+    """Return a started listener for the least urgent rank."""
+    listener = io_server.RankListener(
+        rank=core.Rank.EXPORT, address="127.0.0.1", port=0
+    )
+    service: Any = RefusingService()
+    listener.start(service)
+    return listener
+
+
+async def fetch(port: int) -> httpclient.HTTPResponse:
+    """Send a request that no route fits."""
+    client = httpclient.AsyncHTTPClient(force_instance=True)
+    try:
+        return await client.fetch(
+            f"http://127.0.0.1:{port}/nowhere", raise_error=False
+        )
+    finally:
+        client.close()
+
+
+def test_closed_connections_are_not_counted() -> None:
+    """Guards against a listener that is full of connections long closed."""
+
+    async def run() -> None:
+        listener = make_listener()
+        for _ in range(5):
+            await fetch(listener.port)
+        # The server sees the last close one loop step later.
+        for _ in range(200):
+            if not listener.server.open_connections:
+                break
+            await asyncio.sleep(0.01)
+        assert listener.server.open_connections == 0
+        assert listener.service.in_flight == 0
+        listener.stop_accepting()
+        await listener.close()
+
+    asyncio.run(run())
+
+
+def test_full_listener_refuses_with_a_code(monkeypatch: Any) -> None:
+    """Guards against callers that are cut off without a reason."""
+    monkeypatch.setitem(gateway_const.MAX_CONNECTIONS, core.Rank.EXPORT, 0)
+
+    async def run() -> None:
+        listener = make_listener()
+        response = await fetch(listener.port)
+        body = json.loads(response.body)
+        code = result_codes.ResultCode.TOO_MANY_CONNECTIONS
+        assert response.code == code.http_status
+        assert body["code"] == code
+        assert body["effect"] == "not_run"
+        assert int(response.headers["Retry-After"]) > 0
+        listener.stop_accepting()
+        await listener.close()
+
+    asyncio.run(run())
