--- a/src/samphirelug/components/execution/retry_budget.py
+++ b/src/samphirelug/components/execution/retry_budget.py
@@ -18,7 +18,7 @@
     def take(self, *, now: float) -> bool:
         """Take one retry; false when the budget is empty."""
         elapsed_s = max(0.0, now - self.refilled_at_s)
-        self.refilled_at_s = now
+        self.refilled_at_s = max(now, self.refilled_at_s)
         self.floor = min(
             const.RETRY_FLOOR_BURST,
             self.floor + elapsed_s * const.RETRY_FLOOR_PER_S,
--- /dev/null
+++ b/tests/components/execution/world.py
@@ -0,0 +1,430 @@
+"""Simulate hosts, a lossy mesh and a server that counts what it ran."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import random
+from typing import Any
+
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from samphirelug.components.admission import model as admission_model
+from samphirelug.components.admission.model import PermitEnd
+from samphirelug.components.backend import client
+from samphirelug.components.backend import model as backend_model
+from samphirelug.components.backend.model import FailureKind
+from samphirelug.components.catalogue import view as catalogue_view
+from samphirelug.components.execution import executor
+from samphirelug.components.execution import model
+from samphirelug.components.execution import outcomes
+from samphirelug.components.execution import tokens
+from samphirelug.components.metrics import registry
+from samphirelug.components.peers import mesh
+from samphirelug.components.peers import model as peer_model
+from samphirelug.components.quota import model as quota_model
+from samphirelug import core
+from samphirelug.helpers import timer
+from samphirelug import result_codes
+from samphirelug.result_codes import Effect
+from samphirelug.result_codes import ResultCode
+from tests import builders
+
+Admitted = Result[admission_model.Permit, result_codes.Refusal]
+Sent = Result[core.Answer, backend_model.BackendFailure]
+METRICS = registry.Metrics()
+VIEW = builders.make_view()
+SERVERS = tuple(VIEW.servers)
+UNREACHABLE = result_codes.Refusal(ResultCode.PEER_UNREACHABLE, "lost")
+
+
+class Attempt:
+    """Hold one attempt as the server sees it."""
+
+    def __init__(
+        self, request: backend_model.BackendRequest, runs: dict[str, int]
+    ) -> None:
+        self.request = request
+        self.piece = request.body.decode()
+        self.runs = runs
+        self.result: asyncio.Future[Sent] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.may_run = True
+        # Set when a caller was told that this attempt did not run.
+        self.denied = False
+        self.ran_after_denial = False
+
+    def run(self) -> None:
+        """Run the work on the server, whatever the host believes."""
+        if not self.may_run:
+            return
+        self.may_run = False
+        self.ran_after_denial = self.denied
+        self.runs[self.piece] = self.runs.get(self.piece, 0) + 1
+
+    def reply(self, kind: FailureKind | None) -> None:
+        """Give the host an answer or a failure."""
+        if kind is not None and kind.certainly_not_run:
+            # A request that was run was sent, and a server that ran it
+            # does not refuse it.
+            if not self.may_run:
+                kind = FailureKind.RESET
+            self.may_run = False
+        if self.result.done():
+            return
+        if kind is None:
+            self.run()
+            self.result.set_result(Success(self.answer()))
+        else:
+            failure = backend_model.BackendFailure(kind, kind.value)
+            self.result.set_result(Failure(failure))
+
+    def answer(self) -> core.Answer:
+        """Return the answer that names the piece of work."""
+        body = self.request.body
+        return core.Answer(200, "OK", (), body, self.request.server.name)
+
+
+class Backend(client.BackendClient):
+    """Keep attempts until the schedule decides what becomes of them."""
+
+    def __init__(self, world: "World") -> None:
+        self.world = world
+
+    async def send(self, request: backend_model.BackendRequest) -> Sent:
+        """Return what the schedule decides, or a time-out."""
+        attempt = Attempt(request, self.world.runs)
+        self.world.attempts.append(attempt)
+        timeout = self.world.clock.call_at(
+            when_s=request.deadline_at_s,
+            callback=lambda: attempt.reply(FailureKind.TIMEOUT),
+        )
+        try:
+            return await attempt.result
+        finally:
+            timeout.cancel()
+
+    async def probe(
+        self, server: core.BackendServer, health_path: str, *, timeout_s: float
+    ) -> Result[backend_model.HealthReport, backend_model.BackendFailure]:
+        """Fail, since the executor sends no probes."""
+        raise NotImplementedError(server, health_path, timeout_s)
+
+
+class Admission:
+    """Admit when the schedule says so and check how permits end."""
+
+    def __init__(self) -> None:
+        self.waiting: list[asyncio.Future[Admitted]] = []
+        self.held: set[int] = set()
+        self.ended: list[PermitEnd] = []
+        self.excluded: list[frozenset[str]] = []
+        self.issued = 0
+
+    async def admit(
+        self,
+        request: core.CallerRequest,  # noqa: ARG002
+        *,
+        excluded: frozenset[str],
+    ) -> Admitted:
+        """Return what the schedule decides."""
+        self.excluded.append(excluded)
+        decision: asyncio.Future[Admitted] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.waiting.append(decision)
+        result = await decision
+        if isinstance(result, Success):
+            self.held.add(result.unwrap().hold_id)
+        return result
+
+    def finish(
+        self,
+        permit: admission_model.Permit,
+        *,
+        ended: PermitEnd,
+        request: core.CallerRequest,  # noqa: ARG002
+        answer_bytes: int,  # noqa: ARG002
+    ) -> None:
+        """Fail when a permit ends twice."""
+        self.held.remove(permit.hold_id)
+        self.ended.append(ended)
+
+    def decide(self, refusal: result_codes.Refusal | None = None) -> None:
+        """Admit or refuse the request that has waited longest."""
+        self.waiting = [one for one in self.waiting if not one.done()]
+        if not self.waiting:
+            return
+        if refusal is not None:
+            self.waiting.pop(0).set_result(Failure(refusal))
+            return
+        self.issued += 1
+        server = SERVERS[self.issued % len(SERVERS)]
+        bundle = quota_model.Bundle("tallinn", server, ())
+        permit = admission_model.Permit(
+            self.issued, bundle, admission_model.PermitSource.OWN
+        )
+        self.waiting.pop(0).set_result(Success(permit))
+
+
+class Health:
+    """Count attempts that have started and not ended."""
+
+    def __init__(self) -> None:
+        self.outstanding = 0
+        self.failures: list[FailureKind | None] = []
+
+    def started(self, server: str) -> None:
+        """Count an attempt."""
+        assert server in SERVERS
+        self.outstanding += 1
+
+    def ended(
+        self,
+        server: str,
+        *,
+        latency_s: float,
+        failure: FailureKind | None,
+    ) -> None:
+        """Keep how an attempt ended."""
+        assert server in SERVERS
+        assert latency_s >= 0.0
+        self.outstanding -= 1
+        self.failures.append(failure)
+
+    def apply_report(self, report: backend_model.HealthReport) -> None:
+        """Fail, since the executor sends no probes."""
+        raise NotImplementedError(report)
+
+
+class Catalogue:
+    """Hold the small view."""
+
+    def __init__(self) -> None:
+        self.view: catalogue_view.CatalogueView = VIEW
+        self.position = 1
+
+
+class Mesh(mesh.PeerMesh):
+    """Deliver or lose messages when the schedule says so."""
+
+    def __init__(self, world: "World", name: str) -> None:
+        self.world = world
+        self.name = name
+        self.handlers: dict[type, mesh.Handler] = {}
+
+    def live_peers(self) -> tuple[peer_model.PeerView, ...]:
+        """Return the other hosts that run, with their clocks."""
+        return tuple(
+            peer_model.PeerView(host.heartbeat(), self.world.now(), True)
+            for name, host in self.world.hosts.items()
+            if name != self.name
+        )
+
+    async def request(
+        self, host: str, message: peer_model.Message, *, timeout_s: float
+    ) -> Result[peer_model.Message, result_codes.Refusal]:
+        """Return the answer, unless the schedule loses a message."""
+        done: asyncio.Future[
+            Result[peer_model.Message, result_codes.Refusal]
+        ] = asyncio.get_running_loop().create_future()
+
+        async def deliver(reply_lost: bool) -> None:
+            peer = self.world.hosts.get(host)
+            if peer is None:
+                return
+            handler = peer.mesh.handlers[type(message)]
+            reply = await handler(self.name, message)
+            if reply is not None and not reply_lost and not done.done():
+                done.set_result(Success(reply))
+
+        self.world.messages.append(deliver)
+        timeout = self.world.clock.call_at(
+            when_s=self.world.now() + timeout_s,
+            callback=lambda: (
+                None if done.done() else done.set_result(Failure(UNREACHABLE))
+            ),
+        )
+        try:
+            return await done
+        finally:
+            timeout.cancel()
+
+    def send(self, host: str, message: peer_model.Message) -> None:
+        """Fail, since the executor only sends requests."""
+        raise NotImplementedError(host, message)
+
+    def broadcast(self, message: peer_model.Message) -> None:
+        """Fail, since the executor only sends requests."""
+        raise NotImplementedError(message)
+
+    def set_handler(self, kind: type, handler: mesh.Handler) -> None:
+        """Keep the handler."""
+        self.handlers[kind] = handler
+
+
+class Host:
+    """Run one incarnation of an entry host."""
+
+    def __init__(self, world: "World", name: str, number: int) -> None:
+        self.world = world
+        self.identity = builders.make_host(name)._replace(
+            incarnation=f"{name}-{number}"
+        )
+        self.mesh = Mesh(world, name)
+        self.admission = Admission()
+        self.health = Health()
+        self.book = outcomes.OutcomeBook(
+            host=self.identity,
+            timer=world.clock,
+            started_at_s=world.now(),
+            max_outcomes=world.max_outcomes,
+            max_answer_bytes=world.max_answer_bytes,
+        )
+        self.executor = executor.Executor(
+            catalogue=Catalogue(),
+            admission=self.admission,
+            backend=Backend(world),
+            health=self.health,
+            outcomes=self.book,
+            issuer=world.issuer,
+            mesh=self.mesh,
+            timer=world.clock,
+            rng=random.Random(1),
+            metrics=METRICS,
+            host=self.identity,
+        )
+
+    def heartbeat(self) -> peer_model.Heartbeat:
+        """Return what peers know of the host."""
+        return peer_model.Heartbeat(
+            host=self.identity,
+            state=core.EntryHostState.SERVING,
+            clock_ms=self.book.clock_ms(),
+            catalogue_revision=1,
+            headroom=(),
+            queued=(0, 0, 0),
+            wait_s=(0.0, 0.0, 0.0),
+            sightings=(),
+        )
+
+
+class World:
+    """Hold all hosts and judge each answer by what the server ran."""
+
+    def __init__(
+        self,
+        *,
+        names: tuple[str, ...] = ("eh1", "eh2", "eh3"),
+        max_outcomes: int = 1000,
+        max_answer_bytes: int = 1000,
+    ) -> None:
+        self.clock = timer.ManualTimerService()
+        self.issuer = tokens.TokenIssuer(secret="s", timer=self.clock)
+        self.max_outcomes = max_outcomes
+        self.max_answer_bytes = max_answer_bytes
+        self.runs: dict[str, int] = {}
+        self.attempts: list[Attempt] = []
+        self.messages: list[Callable[[bool], Coroutine[Any, Any, None]]] = []
+        self.tasks: list[asyncio.Task[Any]] = []
+        self.errors: list[str] = []
+        self.started = 0
+        self.hosts: dict[str, Host] = {}
+        for name in names:
+            self.start_host(name)
+
+    def now(self) -> float:
+        """Return the time of the manual clock."""
+        return self.clock.monotonic()
+
+    def start_host(self, name: str) -> None:
+        """Start a new incarnation; the former one is gone."""
+        self.started += 1
+        self.hosts[name] = Host(self, name, self.started)
+
+    def token(self, name: str = "eh1") -> str:
+        """Return a token for filings that names a host."""
+        host = self.hosts[name]
+        return self.issuer.issue(
+            work="file-claim",
+            host=host.identity,
+            home_region="tallinn",
+            clock_ms=host.book.clock_ms(),
+        )
+
+    def call(
+        self,
+        name: str,
+        piece: str,
+        token: str | None,
+        *,
+        limit_s: float = 5.0,
+    ) -> asyncio.Task[model.Outcome]:
+        """Start a caller's request and judge its answer."""
+        request = core.CallerRequest(
+            request_id="r1",
+            work="file-claim" if token else "case-status",
+            rank=core.Rank.URGENT,
+            method="POST",
+            path="/claims",
+            query="",
+            headers=(),
+            body=piece.encode(),
+            deadline_at_s=self.now() + limit_s,
+            home_region="tallinn",
+            run_token=token,
+        )
+        return self.watch(self.hosts[name].executor.run(request), piece)
+
+    def ask(
+        self, name: str, piece: str, token: str
+    ) -> asyncio.Task[model.Outcome]:
+        """Ask a host what became of a token and judge the answer."""
+        return self.watch(self.hosts[name].executor.outcome(token), piece)
+
+    def watch(
+        self, call: Coroutine[Any, Any, model.Outcome], piece: str
+    ) -> asyncio.Task[model.Outcome]:
+        """Judge the result of a call at the moment when it is given."""
+
+        async def judged() -> model.Outcome:
+            outcome = await call
+            self.judge(outcome, piece)
+            return outcome
+
+        task = asyncio.create_task(judged())
+        self.tasks.append(task)
+        return task
+
+    def judge(self, outcome: model.Outcome, piece: str) -> None:
+        """Compare an answer with what the server has run."""
+        runs = self.runs.get(piece, 0)
+        if isinstance(outcome, Success):
+            if outcome.unwrap().body != piece.encode() or runs == 0:
+                self.errors.append(f"{piece}: answer of other work")
+            return
+        code = outcome.failure().code
+        if code.effect is not Effect.NOT_RUN:
+            return
+        if runs:
+            self.errors.append(f"{piece}: {code.name} but it was run")
+        for attempt in self.attempts:
+            attempt.denied |= attempt.piece == piece
+
+    async def settle(self) -> None:
+        """Let every task run until it waits for the schedule."""
+        for _ in range(12):
+            await asyncio.sleep(0)
+
+    def violations(self, *, once: frozenset[str]) -> list[str]:
+        """Return every broken promise seen so far."""
+        found = list(self.errors)
+        for piece, runs in self.runs.items():
+            if piece in once and runs > 1:
+                found.append(f"{piece}: run {runs} times")
+        for attempt in self.attempts:
+            if attempt.ran_after_denial:
+                found.append(f"{attempt.piece}: run after a not-run refusal")
+        return found
