Use the signed home region and reject unknown health states

Cause: the home region of a request under a run token was taken from the caller's header, so a caller could avoid the shift cap; a health answer with an unknown state passed for "live". Ruled out: refusing on a mismatch, since the header is optional. Change: the token's region replaces the header's; the state of a health answer has to be "live" or "leaving". Conclusion: the header still decides for work without a token.

--- a/src/samphirelug/components/backend/io_client.py
+++ b/src/samphirelug/components/backend/io_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from typing import Literal
 
 from returns.result import Failure
 from returns.result import Result
@@ -59,7 +60,7 @@
 class HealthBody(TypedDict):
     """Hold the body of a server's health answer."""
 
-    state: str
+    state: Literal["live", "leaving"]
     load: float
     incarnation: str
 
--- a/src/samphirelug/components/execution/executor.py
+++ b/src/samphirelug/components/execution/executor.py
@@ -218,6 +218,8 @@
         if claim.outcome is not None:
             return claim.outcome
         if claim.standing is model.Standing.FIRST:
+            # The signed home region counts, since shift caps depend on it.
+            request = request._replace(home_region=content.home_region)
             self.runs[content.token_id] = self._start(request, content)
         return await self._wait_for(self.runs[content.token_id], request)
 
--- a/tests/components/backend/test_io_client.py
+++ b/tests/components/backend/test_io_client.py
@@ -354,6 +354,7 @@
             Success(model.HealthReport("filing-1", True, 0.5, "i1")),
         ),
         (b'{"state": "live"}', None),
+        (b'{"state": "odd", "load": 0.5, "incarnation": "i1"}', None),
         (b"up", None),
     ],
 )
--- a/tests/components/execution/test_executor.py
+++ b/tests/components/execution/test_executor.py
@@ -79,6 +79,13 @@
     world.start_host("eh1")
 
 
+async def signed_home_region_counts(world: world_module.World) -> None:
+    """A caller cannot avoid the shift cap by naming another home."""
+    await complete(world, world.token())
+    await dispatch(world, None)
+    assert world.hosts["eh1"].admission.homes == ["tallinn", "parnu"]
+
+
 async def unknown_is_not_hidden(world: world_module.World) -> None:
     """A later refusal may not turn "may have run" into "not run"."""
     call = await dispatch(world, None)
@@ -342,6 +349,7 @@
 
 
 PLAYS: list[Play] = [
+    signed_home_region_counts,
     unknown_is_not_hidden,
     reset_is_not_repeated,
     not_sent_is_retried,
--- a/tests/components/execution/world.py
+++ b/tests/components/execution/world.py
@@ -121,15 +121,17 @@
         self.held: set[int] = set()
         self.ended: list[PermitEnd] = []
         self.excluded: list[frozenset[str]] = []
+        self.homes: list[str] = []
         self.issued = 0
 
     async def admit(
         self,
-        request: core.CallerRequest,  # noqa: ARG002
+        request: core.CallerRequest,
         *,
         excluded: frozenset[str],
     ) -> Admitted:
         """Return what the schedule decides."""
+        self.homes.append(request.home_region)
         self.excluded.append(excluded)
         decision: asyncio.Future[Admitted] = (
             asyncio.get_running_loop().create_future()
@@ -373,7 +375,7 @@
             headers=(),
             body=piece.encode(),
             deadline_at_s=self.now() + limit_s,
-            home_region="tallinn",
+            home_region="parnu",
             run_token=token,
         )
         return self.watch(self.hosts[name].executor.run(request), piece)
