Follow the host list and relay between zones above 16 hosts

Cause: above the full mesh a host hears only its zone's watchers, so sightings and positions of other zones need a way to it; entry hosts and backend servers that leave are named by the platform's list.

Ruled out: flooding whole zone summaries at each catalogue change (about 100 bytes for each of 218 zones and change, times a watcher's 19 links); merging a zone's lowest position by its maximum alone (a host that fell back would be reported in force by a late message, so positions carry the epoch of the zone's last summary); non-watchers reading the whole list at each poll (hundreds of kilobytes at full size).

--- a/src/samphirelug/components/peers/codec.py
+++ b/src/samphirelug/components/peers/codec.py
@@ -9,6 +9,7 @@
 
 import enum
 import typing
+from typing import Annotated
 from typing import Any
 from typing import NamedTuple
 
@@ -38,6 +39,20 @@
     field for field in model.Heartbeat._fields if field != "clock_ms"
 )
 _SPARSE_TYPE = "SparseHeartbeat"
+# Takes the place of "headroom" where only amounts changed, in a fifth of the
+# bytes.
+_AMOUNTS = "amounts"
+
+
+class _Amount(NamedTuple):
+    """Give new amounts for one item of the last heartbeat's headroom."""
+
+    place: Annotated[int, pydantic.Field(ge=0)]
+    free: int
+    held: int
+
+
+_AMOUNTS_ADAPTER = pydantic.TypeAdapter(tuple[_Amount, ...])
 
 
 class UnknownType(NamedTuple):
@@ -96,6 +111,9 @@
             value = getattr(heartbeat, field)
             if value != getattr(sent, field):
                 frame[field] = value
+        amounts = _changed_amounts(sent.headroom, heartbeat.headroom)
+        if amounts is not None and frame.pop("headroom", None) is not None:
+            frame[_AMOUNTS] = amounts
         return _dump(frame)
 
 
@@ -137,8 +155,18 @@
                     for field, value in changed.items()
                 }
             )
+            headroom = list(heartbeat.headroom)
+            for index, free, held in _AMOUNTS_ADAPTER.validate_python(
+                loaded.get(_AMOUNTS, ())
+            ):
+                headroom[index] = headroom[index]._replace(
+                    free=free, held=held
+                )
         except pydantic.ValidationError as error:
             return _invalid(_describe(_SPARSE_TYPE, error))
+        except IndexError:
+            return _invalid("amounts of unknown headroom")
+        heartbeat = heartbeat._replace(headroom=tuple(headroom))
         self.received = heartbeat
         return Success(model.Frame(heartbeat))
 
@@ -151,6 +179,22 @@
 }
 
 
+def _changed_amounts(
+    sent: tuple[model.RegionHeadroom, ...],
+    headroom: tuple[model.RegionHeadroom, ...],
+) -> tuple[_Amount, ...] | None:
+    """Return the changed amounts; None where the items are others."""
+    if len(sent) != len(headroom):
+        return None
+    amounts = []
+    for index, (old, new) in enumerate(zip(sent, headroom, strict=True)):
+        if (old.region, old.service) != (new.region, new.service):
+            return None
+        if old != new:
+            amounts.append(_Amount(index, new.free, new.held))
+    return tuple(amounts)
+
+
 def _dump(frame: dict[str, Any]) -> bytes:
     data = cbor2.dumps(frame, default=_encode_other)
     if len(data) > shared_const.MAX_PEER_MESSAGE_BYTES:
--- a/src/samphirelug/components/peers/const.py
+++ b/src/samphirelug/components/peers/const.py
@@ -15,11 +15,18 @@
 MAX_UNJOINED_CONNECTIONS = 64
 
 FULL_MESH_MAX_HOSTS = 16
+# Above the full mesh, going through thousands of hosts at each heartbeat
+# would take more of a core than all control work may.
+PLAN_INTERVAL_S = 2.0
+# Look-ups ask for the live peers far more often than these change.
+LIVE_PEERS_KEEP_S = 0.1
 WATCHERS_PER_ZONE = 2
 FAR_ZONES = 6
 
 # Heartbeats come every 0.5 s, so a silent connection missed ten of them.
 SILENT_CONNECTION_S = 5.0
+# A peer that reads nothing would hold up a planned stop.
+CLOSE_S = 1.0
 RECONNECT_MIN_S = 0.2
 RECONNECT_MAX_S = 5.0
 # The host with the larger name dials later, which avoids double connections.
@@ -43,17 +50,27 @@
 HOST_LIST_POLL_S = 60.0
 HOST_LIST_RETRY_S = 2.0
 
-# Two hops of one tick each, plus the network, fit into the 3 s of a sighting
-# several times over.
+# About six hops of one tick each stay well below the 3 s of a sighting.
 RELAY_TICK_S = 0.25
-# Summary of an unchanged zone is repeated to replace a lost one.
-SUMMARY_REPEAT_S = 60.0
+# A host behind for less than this is catching up and is not named.
+LAG_GRACE_S = 2.0
 SUMMARY_MIN_INTERVAL_S = 1.0
-# A zone without a fresh summary for two repeats has no watcher left.
-SUMMARY_EXPIRE_S = 150.0
+# Summaries change seldom and reach new neighbours at once; the repeat only
+# replaces lost ones. At 218 zones a repeat each minute would cost a watcher
+# more bytes than everything else that it relays.
+SUMMARY_REPEAT_S = 600.0
+SUMMARY_EXPIRE_S = 1300.0
 SUMMARY_MAX_LAGGING = 8
 SUMMARY_ENTRY_HOSTS = 2
-RELAY_MAX_MESSAGES_PER_S = 200
-RELAY_MAX_BYTES_PER_S = 64 * 1024
+# Clocks of two hosts differ in speed by less than this.
+CLOCK_DRIFT = 0.01
+# Bounds what a flood of sightings can cost. A watcher has about 50 peers, so
+# that ordinary ticks use a part of it.
+RELAY_MAX_MESSAGES_PER_S = 240
+RELAY_MAX_BYTES_PER_S = 256 * 1024
+# The same sighting from many hosts at once is passed on once.
+SIGHTING_REPEAT_S = 2.0
 SIGHTING_MEMORY_S = 120.0
-SIGHTING_MEMORY_COUNT = 50_000
+SIGHTING_MEMORY_COUNT = 20_000
+RELAY_MAX_PENDING = 1000
+RELAY_MAX_ZONES = 1000
--- a/src/samphirelug/components/peers/io_mesh.py
+++ b/src/samphirelug/components/peers/io_mesh.py
@@ -28,6 +28,7 @@
 from samphirelug.components.peers import membership as peer_membership
 from samphirelug.components.peers import mesh
 from samphirelug.components.peers import model
+from samphirelug.components.peers import relay as peer_relay
 from samphirelug.components.peers import send_queue
 from samphirelug.components.peers import topology
 from samphirelug import const as shared_const
@@ -144,6 +145,13 @@
         self.on_members: list[Callable[[], None]] = []
         # Called when a peer has seen a later start under this host's name.
         self.on_superseded: list[Callable[[], None]] = []
+        self._live_peers: tuple[float, tuple[model.PeerView, ...]] = (
+            float("-inf"),
+            (),
+        )
+        self._planned: topology.Plan | None = None
+        self._planned_at_s = float("-inf")
+        self.relay = peer_relay.Relay(own=host)
         self._handlers: dict[type, mesh.Handler] = {}
         self._pending: dict[int, _PendingRequest] = {}
         self._ids = itertools.count(1)
@@ -158,8 +166,10 @@
         self._on_demand: dict[str, float] = {}
         self._connected: dict[str, asyncio.Event] = {}
         self._subscription: timer_helper.Subscription | None = None
+        self._relay_subscription: timer_helper.Subscription | None = None
         self._server: server.Server | None = None
         self._last_heartbeat_s = float("-inf")
+        self._early: timer_helper.Subscription | None = None
         self._stopped = False
 
     async def start(self) -> None:
@@ -179,18 +189,30 @@
             max_queue=2,
             compression=None,
             ping_interval=None,
-            close_timeout=1,
+            close_timeout=const.CLOSE_S,
         )
         self._subscription = self.timer.subscribe(
             interval_s=shared_const.HEARTBEAT_INTERVAL_S, callback=self._tick
         )
+        self._relay_subscription = self.timer.subscribe(
+            interval_s=const.RELAY_TICK_S, callback=self._tick_relay
+        )
         self._update_dialers()
 
     async def stop(self) -> None:
         """Close all connections and the listener."""
         self._stopped = True
-        if self._subscription is not None:
-            self._subscription.cancel()
+        for subscription in (self._subscription, self._relay_subscription):
+            if subscription is not None:
+                subscription.cancel()
+        transports = [
+            connection.websocket.transport
+            for connection in self.connections.values()
+        ]
+        abort = self.timer.call_at(
+            when_s=self.timer.monotonic() + const.CLOSE_S,
+            callback=lambda: _abort(transports),
+        )
         tasks = [*self._dialers.values(), *self._tasks]
         for task in tasks:
             task.cancel()
@@ -198,25 +220,43 @@
         if self._server is not None:
             self._server.close()
             await self._server.wait_closed()
+        abort.cancel()
         for pending in self._pending.values():
             pending.finish(None)
 
     def set_known_hosts(self, hosts: Iterable[core.EntryHost]) -> None:
         """Replace the hosts that the platform's list names."""
         self.membership.set_listed(hosts, now=self.timer.monotonic())
+        self._planned = None
         self._update_dialers()
 
     def is_watcher(self) -> bool:
         """Tell whether this host is a watcher of its zone now."""
+        now = self.timer.monotonic()
+        if not self._mesh_is_full():
+            plan = self._plan(now)
+            if plan.zones:
+                zone = self.host.zone.name
+                return self.host.name in plan.watchers_in(zone)
         return topology.is_watcher(
-            self.host,
-            self.membership.zone_members(now=self.timer.monotonic()),
+            self.host, self.membership.zone_members(now=now)
         )
 
     def live_peers(self) -> tuple[model.PeerView, ...]:
-        """Return the peers heard within PEER_TIMEOUT_S."""
+        """Return the peers heard within PEER_TIMEOUT_S.
+
+        Above the full mesh, also the few hosts of each other zone that its
+        summary names, without headroom; they are not connected.
+        """
         now = self.timer.monotonic()
-        return tuple(
+        kept_until_s, views = self._live_peers
+        if now >= kept_until_s:
+            views = self._view_peers(now)
+            self._live_peers = (now + const.LIVE_PEERS_KEEP_S, views)
+        return views
+
+    def _view_peers(self, now: float) -> tuple[model.PeerView, ...]:
+        heard = tuple(
             model.PeerView(
                 heartbeat=member.heartbeat,
                 heard_at_s=member.heard_at_s,
@@ -225,6 +265,14 @@
             for member in self.membership.live(now=now)
             if member.heartbeat is not None and member.heard_at_s is not None
         )
+        if self._mesh_is_full():
+            return heard
+        names = {view.heartbeat.host.name for view in heard}
+        return heard + tuple(
+            model.PeerView(heartbeat=beat, heard_at_s=now, connected=False)
+            for beat in self.relay.far_hosts(now=now)
+            if beat.host.name not in names
+        )
 
     async def request(
         self, host: str, message: model.Message, *, timeout_s: float
@@ -266,7 +314,10 @@
             self._put([connection], message)
 
     def broadcast(self, message: model.Message) -> None:
-        """Send a message to all connected peers."""
+        """Send a message to all connected peers; a sighting, to all hosts."""
+        if isinstance(message, model.Sighting) and not self._mesh_is_full():
+            self.relay.originate(message, now=self.timer.monotonic())
+            return
         self._put(self.connections.values(), message)
 
     def set_handler(self, kind: type, handler: mesh.Handler) -> None:
@@ -276,13 +327,23 @@
     def heartbeat_now(self) -> None:
         """Send a heartbeat early, such as for a changed state or position."""
         now = self.timer.monotonic()
-        if now - self._last_heartbeat_s < const.HEARTBEAT_MIN_INTERVAL_S:
+        due_s = self._last_heartbeat_s + const.HEARTBEAT_MIN_INTERVAL_S
+        if now < due_s:
+            if self._early is None and not self._stopped:
+                self._early = self.timer.call_at(
+                    when_s=due_s, callback=self._send_early
+                )
             return
         self._last_heartbeat_s = now
         beat = self.heartbeat()
         for connection in self.connections.values():
             connection.put_heartbeat(beat)
 
+    def _send_early(self) -> None:
+        self._early = None
+        if not self._stopped:
+            self.heartbeat_now()
+
     def _tick(self) -> None:
         now = self.timer.monotonic()
         self.heartbeat_now()
@@ -292,6 +353,46 @@
         self.membership.forget(now=now)
         self._update_dialers()
 
+    def _tick_relay(self) -> None:
+        if self._mesh_is_full():
+            return
+        now = self.timer.monotonic()
+        plan = self._plan(now)
+        own_zone = self.host.zone.name
+        own_watchers = plan.watchers_in(own_zone) or (self.host.name,)
+        watcher = self.host.name in own_watchers
+        watchers, others = [], []
+        for name, connection in self.connections.items():
+            zone = connection.host.zone.name
+            if name in plan.watchers_in(zone):
+                watchers.append(name)
+            elif zone == own_zone and watcher:
+                others.append(name)
+        self.relay.set_peers(watcher=watcher, watchers=watchers, others=others)
+        for outgoing in self.relay.tick(
+            own=self.heartbeat(),
+            zone=(
+                beat
+                for member in self.membership.live(now=now)
+                if member.host.zone.name == own_zone
+                and (beat := member.heartbeat) is not None
+            ),
+            first_watcher=own_watchers[0] == self.host.name,
+            now=now,
+        ):
+            self.send(outgoing.peer, outgoing.message)
+
+    def _relay_in(self, name: str, message: model.Message) -> None:
+        """Give a relayed message to the relay and its news to handlers."""
+        now = self.timer.monotonic()
+        if isinstance(message, model.Heartbeat):
+            # Handlers of heartbeats see the sightings in it anyway.
+            if not self._mesh_is_full():
+                self.relay.heard(message, now=now)
+        elif isinstance(message, model.Relayed):
+            for sighting in self.relay.receive(name, message, now=now):
+                self._dispatch(name, model.Frame(sighting))
+
     def _put(
         self, connections: Iterable[_PeerConnection], message: model.Message
     ) -> None:
@@ -337,13 +438,10 @@
             for name, until in self._on_demand.items()
             if until > now
         }
-        own = topology.Node(self.host.name, self.host.zone)
         if self._mesh_is_full():
             wanted = frozenset(self.membership.members)
         else:
-            wanted = topology.wanted_peers(
-                own, self.membership.candidates(now=now)
-            )
+            wanted = self._plan(now).wanted
         # A leaving host still hands over its outcomes.
         leaving = {
             name
@@ -353,6 +451,16 @@
         }
         return wanted | self._on_demand.keys() | leaving
 
+    def _plan(self, now: float) -> topology.Plan:
+        plan = self._planned
+        if plan is None or now - self._planned_at_s >= const.PLAN_INTERVAL_S:
+            plan = topology.make_plan(
+                topology.Node(self.host.name, self.host.zone),
+                self.membership.candidates(now=now),
+            )
+            self._planned, self._planned_at_s = plan, now
+        return plan
+
     def _update_dialers(self) -> None:
         if self._stopped or self._subscription is None:
             return
@@ -417,7 +525,7 @@
                 proxy=None,
                 open_timeout=const.JOIN_VALID_S,
                 ping_interval=None,
-                close_timeout=1,
+                close_timeout=const.CLOSE_S,
             )
         except (*_TRANSPORT_ERRORS, ValueError) as error:
             _LOG.debug("Peer %s not reached: %s", url, error)
@@ -688,7 +796,11 @@
         ]
         self._put(others, model.KnownHosts((connection.host,)))
 
+    def _forget_views(self) -> None:
+        self._live_peers = (float("-inf"), ())
+
     def _members_changed(self) -> None:
+        self._forget_views()
         for callback in self.on_members:
             callback()
 
@@ -747,18 +859,27 @@
                 return result_codes.Refusal(
                     _Code.PEER_MESSAGE_INVALID, "heartbeat of another host"
                 )
+            last = self.membership.members[name].heartbeat
             if not self.membership.heard(message, now=now):
                 return None
+            if last is None or last.state is not message.state:
+                self._forget_views()
         elif isinstance(message, model.KnownHosts):
             self._learn(message)
-        handler = self._handlers.get(type(message))
+        self._relay_in(name, message)
+        self._dispatch(name, frame)
+        return None
+
+    def _dispatch(self, name: str, frame: model.Frame) -> None:
+        handler = self._handlers.get(type(frame.message))
         if handler is None:
-            return None
+            return
         if self._handling >= const.MAX_REQUESTS_HANDLED:
-            self._count(type(message).__name__, "dropped")
-            return None
+            self._count(type(frame.message).__name__, "dropped")
+            return
+        # Counted here, since a burst arrives before the tasks run.
+        self._handling += 1
         self._spawn(self._run_handler(handler, name, frame))
-        return None
 
     def _learn(self, message: model.KnownHosts) -> None:
         if not self._mesh_is_full():
@@ -771,7 +892,6 @@
     async def _run_handler(
         self, handler: mesh.Handler, name: str, frame: model.Frame
     ) -> None:
-        self._handling += 1
         try:
             reply = await handler(name, frame.message)
         except Exception:
@@ -830,6 +950,11 @@
     )
 
 
+def _abort(transports: Iterable[asyncio.Transport]) -> None:
+    for transport in transports:
+        transport.abort()
+
+
 def _version_refusal(version: int) -> result_codes.Refusal:
     return result_codes.Refusal(
         _Code.PEER_VERSION_UNSUPPORTED,
--- a/src/samphirelug/components/peers/membership.py
+++ b/src/samphirelug/components/peers/membership.py
@@ -49,6 +49,8 @@
     def __init__(self, *, own: core.EntryHost) -> None:
         self.own = own
         self.members: dict[str, Member] = {}
+        # Names heard lately; of thousands of hosts few are connected.
+        self._heard: set[str] = set()
 
     def set_listed(
         self, hosts: Iterable[core.EntryHost], *, now: float
@@ -120,6 +122,7 @@
         member.host = heartbeat.host
         member.heartbeat = heartbeat
         member.heard_at_s = now
+        self._heard.add(heartbeat.host.name)
         member.named_at_s = now
         member.unreachable_until_s = 0.0
         return True
@@ -149,19 +152,28 @@
 
     def live(self, *, now: float) -> tuple[Member, ...]:
         """Return the members heard within PEER_TIMEOUT_S."""
-        return tuple(
+        live = tuple(
             member
-            for member in self.members.values()
-            if member.heard_at_s is not None
+            for name in self._heard
+            if (member := self.members.get(name)) is not None
+            and member.heard_at_s is not None
             and now - member.heard_at_s <= shared_const.PEER_TIMEOUT_S
         )
+        if len(live) < len(self._heard):
+            self._heard = {member.host.name for member in live}
+        return live
 
     def candidates(self, *, now: float) -> tuple[topology.Node, ...]:
         """Return the hosts that may be alive, for the topology."""
+        # Most of thousands of members were never heard or dialled, and are
+        # listed; working out their states would take most of the time.
         return tuple(
             topology.Node(name, member.host.zone)
             for name, member in self.members.items()
-            if member.state(now)
+            if (
+                member.heard_at_s is None and now >= member.unreachable_until_s
+            )
+            or member.state(now)
             in (model.MemberState.LIVE, model.MemberState.LISTED)
         )
 
--- a/src/samphirelug/components/peers/model.py
+++ b/src/samphirelug/components/peers/model.py
@@ -178,29 +178,53 @@
 
 
 class ZoneSummary(NamedTuple):
-    """Report a zone beyond its borders; built by one of its watchers."""
+    """Report a zone beyond its borders; built by its first watcher."""
 
     zone: core.AvailabilityZone
-    # Watcher that built it, its incarnation and its count of summaries.
-    origin: str
-    incarnation: str
-    sequence: Sequence
-    lowest_revision: int
-    highest_revision: int
-    # Bounded to the first names in order; lagging_count has them all.
+    # Grows with each summary of the zone, whoever builds it.
+    epoch: Sequence
+    # Lowest position of the zone's serving hosts.
+    revision: Sequence
+    # Bounded to the first names in order; lagging_count counts all.
     lagging: tuple[str, ...]
     lagging_count: int
     serving_count: int
-    # A few serving hosts of the zone, as they stood at the last change.
+    # A few serving hosts, without what changes from moment to moment.
     entry_hosts: tuple[Heartbeat, ...]
 
 
+class ZoneEpoch(NamedTuple):
+    """Name a zone by its short id, and the summary that was current."""
+
+    zone_id: Sequence
+    epoch: Sequence
+
+
+class ZonePositions(NamedTuple):
+    """Report that the lowest position of zones has risen to a revision."""
+
+    revision: Sequence
+    zones: tuple[ZoneEpoch, ...]
+
+
+class RelayedSighting(NamedTuple):
+    """Carry a sighting with the identity that stops loops."""
+
+    # Name and incarnation of the host that sent it first.
+    origin: str
+    sequence: Sequence
+    sighting: Sighting
+
+
 class Relayed(NamedTuple):
-    """Carry what a watcher passes on in one tick."""
+    """Carry what a host passes on to one peer in one tick."""
 
-    sightings: tuple[Sighting, ...]
+    sightings: tuple[RelayedSighting, ...]
+    positions: tuple[ZonePositions, ...]
     summaries: tuple[ZoneSummary, ...]
-    highest_revision: int
+    # Lowest and highest position that the sender knows of in the fleet.
+    lowest_revision: Sequence
+    highest_revision: Sequence
 
 
 Message = (
--- a/src/samphirelug/components/peers/topology.py
+++ b/src/samphirelug/components/peers/topology.py
@@ -1,6 +1,8 @@
 """Choose the peers that a host connects to; no input or output."""
 
 from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from samphirelug.components.peers import const
@@ -30,43 +32,69 @@
     return host.name in watchers_of(host.zone.name, names)
 
 
+class Plan:
+    """Hold the peers that a host dials and who watches which zone."""
+
+    def __init__(
+        self, *, wanted: frozenset[str], zones: Mapping[str, Sequence[str]]
+    ) -> None:
+        self.wanted = wanted
+        # Empty for the full mesh, which needs no watchers to pass things on.
+        self.zones = zones
+        self._watchers: dict[str, tuple[str, ...]] = {}
+
+    def watchers_in(self, zone: str) -> tuple[str, ...]:
+        """Return a zone's watchers.
+
+        Ranked when asked for, since a host looks at few of the zones.
+        """
+        known = self._watchers.get(zone)
+        if known is None:
+            known = watchers_of(zone, self.zones.get(zone, ()))
+            self._watchers[zone] = known
+        return known
+
+
 def wanted_peers(own: Node, others: Iterable[Node]) -> frozenset[str]:
-    """Return the names of the peers that the host dials.
+    """Return the names of the peers that the host dials."""
+    return make_plan(own, others).wanted
+
+
+def make_plan(own: Node, others: Iterable[Node]) -> Plan:
+    """Return the peers that the host dials and the zones they are in.
 
     Links count in both directions: a watcher also accepts connections from
     its zone's hosts and from watchers that chose its zone.
     """
-    nodes = {node.name: node for node in others}
-    nodes[own.name] = own
+    nodes = {node.name: node.zone for node in others}
+    nodes[own.name] = own.zone
     if len(nodes) <= const.FULL_MESH_MAX_HOSTS:
-        return frozenset(nodes) - {own.name}
-    zones: dict[core.AvailabilityZone, list[str]] = {}
-    for node in nodes.values():
-        zones.setdefault(node.zone, []).append(node.name)
-    watchers = set(watchers_of(own.zone.name, zones[own.zone]))
-    if own.name not in watchers:
-        return frozenset(watchers)
-    wanted = watchers
-    for zone, names in zones.items():
-        if zone.region == own.zone.region:
-            wanted.update(watchers_of(zone.name, names))
-    wanted.update(_far_peers(own, zones))
-    return frozenset(wanted) - {own.name}
-
-
-def _far_peers(
-    own: Node, zones: dict[core.AvailabilityZone, list[str]]
-) -> set[str]:
+        return Plan(wanted=frozenset(nodes) - {own.name}, zones={})
+    zones: dict[str, list[str]] = {}
+    regions: dict[str, str] = {}
+    for name, zone in nodes.items():
+        zones.setdefault(zone.name, []).append(name)
+        regions[zone.name] = zone.region
+    plan = Plan(wanted=frozenset(), zones=zones)
+    wanted = set(plan.watchers_in(own.zone.name))
+    if own.name in wanted:
+        far = []
+        for zone_name, region in regions.items():
+            if region == own.zone.region:
+                wanted.update(plan.watchers_in(zone_name))
+            else:
+                far.append(zone_name)
+        wanted.update(_far_peers(own, far, plan))
+    plan.wanted = frozenset(wanted) - {own.name}
+    return plan
+
+
+def _far_peers(own: Node, far: list[str], plan: Plan) -> set[str]:
     # Both watchers of a zone choose by their own names, so that the zone
     # reaches twelve others, and each dials one watcher of a zone it chose.
-    far = {
-        zone.name: names
-        for zone, names in zones.items()
-        if zone.region != own.zone.region
-    }
     key = f"far/{own.name}"
     ranked = rendezvous.rank_names(key=key, names=far)[: const.FAR_ZONES]
     return {
-        rendezvous.rank_names(key=key, names=watchers_of(zone, far[zone]))[0]
+        rendezvous.rank_names(key=key, names=plan.watchers_in(zone))[0]
         for zone in ranked
     }
--- a/tests/components/peers/test_io_mesh.py
+++ b/tests/components/peers/test_io_mesh.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 import random
 import socket
-from typing import Any
 
+import pytest
 from returns.pipeline import is_successful
 from websockets.asyncio import client
 from websockets import exceptions
@@ -38,16 +38,15 @@
         seeds: tuple[str, ...] = (),
         secret: str = SECRET,
         incarnation: str | None = None,
-        port: int = 0,
-        **changes: Any,
+        zone: str = "tallinn-a",
     ) -> io_mesh.WebsocketMesh:
         """Start a mesh that listens on a free port."""
-        sock = socket.create_server(("127.0.0.1", port))
-        host = builders.make_host(name)._replace(
+        sock = socket.create_server(("127.0.0.1", 0))
+        host = builders.make_host(name, zone=zone)._replace(
             incarnation=incarnation or f"{name}-1",
             peer_url=f"ws://127.0.0.1:{sock.getsockname()[1]}/",
         )
-        beat = make_heartbeat(host)._replace(**changes)
+        beat = make_heartbeat(host)
         peer = io_mesh.WebsocketMesh(
             host=host,
             secret=secret,
@@ -211,6 +210,16 @@
         )
         assert not is_successful(unknown)
         assert not one._pending
+        three = await cluster.add("eh3", seeds=(one.host.peer_url,))
+        await until(lambda: "eh1" in three.connections)
+        asked = asyncio.create_task(
+            one.request("eh2", model.CatalogueRequest(0), timeout_s=0.3)
+        )
+        await until(lambda: bool(one._pending))
+        (message_id,) = one._pending
+        forged = codec.encode(model.Acknowledgement(), reply_to=message_id)
+        three.connections["eh1"].put(forged)
+        assert not is_successful(await asked)
 
     run(test)
 
@@ -345,3 +354,117 @@
         assert result.unwrap() == model.Acknowledgement()
 
     run(test)
+
+
+def test_a_larger_fleet_relays_between_zones() -> None:
+    """Guards against zones that do not hear of each other's servers."""
+
+    async def test(cluster: Cluster) -> None:
+        for number in range(18):
+            await cluster.add(f"h{number}", zone="abc"[number % 3] + "-1")
+        got: dict[str, list[model.Message]] = {}
+        for peer in cluster.meshes:
+            # Incarnations and caller URLs are not in the host list.
+            peer.set_known_hosts(
+                other.host._replace(incarnation="", caller_urls=("", "", ""))
+                for other in cluster.meshes
+            )
+
+            async def note(
+                _: str,
+                message: model.Message,
+                name: str = peer.host.name,
+            ) -> None:
+                got.setdefault(name, []).append(message)
+
+            peer.set_handler(model.Sighting, note)
+        watchers = [peer for peer in cluster.meshes if peer.is_watcher()]
+        assert len(watchers) == 6
+        zones = {"a-1", "b-1", "c-1"}
+
+        def zones_named(peer: io_mesh.WebsocketMesh) -> set[str]:
+            views = peer.live_peers()
+            return {view.heartbeat.host.zone.name for view in views}
+
+        await until(
+            lambda: all(zones_named(peer) == zones for peer in cluster.meshes)
+        )
+        other = next(m for m in cluster.meshes if not m.is_watcher())
+        assert len(other.connections) == 2
+        sighting = model.Sighting("s1", "", True, 0)
+        other.broadcast(sighting)
+        await until(lambda: len(got) == 17, limit_s=3.0)
+        await asyncio.sleep(0.5)
+        assert set(map(len, got.values())) == {1}
+
+    run(test)
+
+
+def test_early_heartbeats_are_bounded_but_never_lost() -> None:
+    """Guards against a state change that waits, and a storm of changes."""
+
+    async def test(cluster: Cluster) -> None:
+        one = await cluster.add("eh1")
+        two = await cluster.add("eh2", seeds=(one.host.peer_url,))
+        await until(lambda: len(one.live_peers()) == 1)
+        beat = make_heartbeat(two.host)
+        built = 0
+
+        def build() -> model.Heartbeat:
+            nonlocal built
+            built += 1
+            return beat
+
+        two.heartbeat = build
+        for clock_ms in range(2, 100):
+            beat = beat._replace(clock_ms=clock_ms)
+            two.heartbeat_now()
+        await until(
+            lambda: one.membership.members["eh2"].heartbeat == beat,
+            limit_s=0.3,
+        )
+        assert built <= 8
+
+    run(test)
+
+
+def test_a_silent_connection_is_replaced(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a half-open link that keeps the pair apart."""
+    monkeypatch.setattr(const, "SILENT_CONNECTION_S", 1.2)
+
+    async def test(cluster: Cluster) -> None:
+        one = await cluster.add("eh1")
+        two = await cluster.add("eh2", seeds=(one.host.peer_url,))
+        await until(lambda: len(one.live_peers()) == 1)
+        await asyncio.sleep(1.5)
+        old = one.connections["eh2"]
+        assert two._subscription is not None
+        two._subscription.cancel()
+        await until(lambda: one.connections.get("eh2") not in (None, old))
+        assert old.websocket.close_code == 1001
+
+    run(test)
+
+
+def test_connections_that_never_join_are_bounded(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against strangers that hold connections open."""
+    monkeypatch.setattr(const, "JOIN_VALID_S", 0.5)
+    monkeypatch.setattr(const, "MAX_UNJOINED_CONNECTIONS", 3)
+
+    async def test(cluster: Cluster) -> None:
+        peer = await cluster.add("eh1")
+        idle = [
+            await client.connect(peer.host.peer_url, proxy=None)
+            for _ in range(4)
+        ]
+        await until(lambda: idle[3].close_code == 1013, limit_s=0.4)
+        assert peer._unjoined == 3
+        await until(lambda: peer._unjoined == 0, limit_s=1.5)
+        closed = [websocket.wait_closed() for websocket in idle]
+        await asyncio.wait_for(asyncio.gather(*closed), 1.0)
+
+    run(test)
--- /dev/null
+++ b/tests/components/peers/test_topology.py
@@ -0,0 +1,72 @@
+"""Test which peers a host connects to."""
+
+from samphirelug.components.peers import const
+from samphirelug.components.peers import topology
+from samphirelug import core
+from tests import builders
+
+
+def make_nodes(*, zones: int, per_zone: int) -> list[topology.Node]:
+    """Return hosts in zones, two zones to a region."""
+    return [
+        topology.Node(
+            f"eh-{zone}-{index}",
+            core.AvailabilityZone(f"z{zone:02}", f"r{zone // 2:02}"),
+        )
+        for zone in range(zones)
+        for index in range(per_zone)
+    ]
+
+
+def test_sixteen_hosts_have_a_full_mesh() -> None:
+    """Guards against a small cluster that depends on watchers."""
+    nodes = make_nodes(zones=4, per_zone=4)
+    assert len(topology.wanted_peers(nodes[0], nodes)) == 15
+    more = [*nodes, topology.Node("eh-x", nodes[-1].zone)]
+    assert len(topology.wanted_peers(nodes[0], more)) < 15
+
+
+def test_every_host_is_reached_and_watchers_are_bounded() -> None:
+    """Guards against a fleet that falls apart, or links without bound."""
+    nodes = make_nodes(zones=40, per_zone=6)
+    wanted = {n.name: topology.wanted_peers(n, nodes) for n in nodes}
+    watchers = {
+        name
+        for zone in {n.zone.name for n in nodes}
+        for name in topology.watchers_of(
+            zone, [n.name for n in nodes if n.zone.name == zone]
+        )
+    }
+    assert len(watchers) == 80
+    for node in nodes:
+        if node.name not in watchers:
+            assert len(wanted[node.name]) == const.WATCHERS_PER_ZONE
+        else:
+            # The region's other three watchers and six far ones.
+            assert len(wanted[node.name]) == 3 + const.FAR_ZONES
+        assert wanted[node.name] <= watchers - {node.name}
+    reached, frontier = {nodes[0].name}, {nodes[0].name}
+    while frontier:
+        linked = {p for n in frontier for p in wanted[n]} | {
+            n for n, peers in wanted.items() if peers & frontier
+        }
+        frontier = linked - reached
+        reached |= frontier
+    assert len(reached) == len(nodes)
+
+
+def test_watchers_change_only_with_their_own_loss() -> None:
+    """Guards against a zone that swaps watchers for an unrelated loss."""
+    names = [f"eh{n}" for n in range(10)]
+    first, second = topology.watchers_of("z", names)
+    for lost in names:
+        left = topology.watchers_of("z", [n for n in names if n != lost])
+        expected = {first, second} - {lost}
+        assert expected <= set(left)
+    host = builders.make_host("eh1")
+    zone = host.zone.name
+    others = [n for n in names if n != "eh1"]
+    assert topology.is_watcher(host, others) == (
+        "eh1" in topology.watchers_of(zone, names)
+    )
+    assert topology.is_watcher(host, [])
