Test hearsay and zones that fall back against their guards

Cause: trials with guards removed by hand on a scratch copy left two removals unnoticed: hearsay that sets an incarnation, and a zone's position that falls before its hosts are named as lagging. A third removal was of a check that Membership.add repeats.

Ruled out: counting on the lagging names to report the fall, since they come 2 s later and the position is too high meanwhile.

Change: both tests check the effect; the repeated check is removed.

--- a/src/samphirelug/components/peers/membership.py
+++ b/src/samphirelug/components/peers/membership.py
@@ -90,8 +90,6 @@
 
     def joined(self, host: core.EntryHost, *, now: float) -> bool:
         """Note a handshake; False where the incarnation is superseded."""
-        if host.name == self.own.name:
-            return False
         if not self.add(host, now=now):
             return False
         member = self.members[host.name]
--- a/tests/components/peers/test_membership.py
+++ b/tests/components/peers/test_membership.py
@@ -66,6 +66,7 @@
     known.heard(BEAT, now=1.0)
     known.add(LATER, now=2.0)
     assert known.members["eh2"].host == PEER
+    assert known.joined(LATER, now=3.0)
 
 
 def test_own_name_is_never_a_peer() -> None:
--- a/tests/components/peers/test_relay.py
+++ b/tests/components/peers/test_relay.py
@@ -137,6 +137,22 @@
     assert made.lowest() == 4
 
 
+def test_a_zone_that_falls_back_says_so_before_it_names_hosts() -> None:
+    """Guards against a change called in force while a host lost it."""
+    made = make_relay()
+    own = test_io_mesh.make_heartbeat(made.own)
+    other = own._replace(host=builders.make_host("eh2"))
+    for now, revision in ((0.0, 7), (2.0, 7), (4.0, 3)):
+        made.tick(
+            own=own,
+            zone=[other._replace(catalogue_revision=revision)],
+            first_watcher=True,
+            now=now,
+        )
+        assert made.lowest() == revision
+    assert made.zones["tallinn-a"].summary.lagging == ()
+
+
 def test_nothing_goes_back_to_its_sender_or_twice() -> None:
     """Guards against loops and doubled traffic between two watchers."""
     made = make_relay()
