Add real-process tests under kills, pauses, cuts and outages

Cause: the promises have to hold for real processes, not only for parts. Ruled out: assertions on durations; the checks count what backend servers and callers saw. Change: a harness that sends load, repeats as callers are told to, and checks for double runs, false refusals, cut or foreign answers, overfull servers and regions, and shifts above the cap; the stand-in caller looks up anew when none of the named hosts answers.

--- a/standins/caller.py
+++ b/standins/caller.py
@@ -12,6 +12,8 @@
 LOOKUP_TIMEOUT_S = 2.0
 # Time beyond the deadline that the answer may take to come back.
 ANSWER_GRACE_S = 2.0
+# Refusals that are about one entry host only.
+NEXT_HOST_CODES = ("STOPPING", "NO_SHARE", "NO_CATALOGUE")
 
 
 class CallResult(NamedTuple):
@@ -29,6 +31,17 @@
     attempts: int
 
 
+class PreparedCall(NamedTuple):
+    """Hold a request that any of several entry hosts may take."""
+
+    work: str
+    path: str
+    method: str
+    body: str
+    deadline_s: float
+    headers: dict[str, str]
+
+
 class CachedLookup(NamedTuple):
     """Hold a look-up answer and when it stops being valid."""
 
@@ -114,14 +127,28 @@
             headers["X-Work-Id"] = work_id
         if lookup.get("run_token"):
             headers[const.HEADER_RUN_TOKEN] = lookup["run_token"]
+        request = PreparedCall(work, path, method, body, deadline_s, headers)
+        result = await self._try_hosts(request, lookup, started_s)
+        if result.status == 0 and not lookup.get("run_token"):
+            # None of the hosts of a kept look-up answer is there any more.
+            found = await self.look_up(work, fresh=True)
+            if found.status == 200:
+                result = await self._try_hosts(request, found.body, started_s)
+        if result.status == 0 or result.name in NEXT_HOST_CODES:
+            self.cache.pop(work, None)
+        return result
+
+    async def _try_hosts(
+        self, call: PreparedCall, lookup: dict[str, Any], started_s: float
+    ) -> CallResult:
         result = CallResult(0, 0, "NO_ANSWER", "not_run", {}, "", 0.0, 0)
         for attempt, host in enumerate(lookup["entry_hosts"], start=1):
             result = await self._fetch(
-                method,
-                f"{host['url']}/v1/run/{work}{path}",
-                headers=headers,
-                body=body if method not in ("GET", "HEAD") else None,
-                timeout_s=deadline_s + ANSWER_GRACE_S,
+                call.method,
+                f"{host['url']}/v1/run/{call.work}{call.path}",
+                headers=call.headers,
+                body=call.body if call.method not in ("GET", "HEAD") else None,
+                timeout_s=call.deadline_s + ANSWER_GRACE_S,
             )
             result = result._replace(
                 entry_host=host["name"],
@@ -130,14 +157,12 @@
             )
             if not self._try_next(result, has_token="run_token" in lookup):
                 break
-        if result.status == 0 or result.name in ("STOPPING", "NO_SHARE"):
-            self.cache.pop(work, None)
         return result
 
     def _try_next(self, result: CallResult, *, has_token: bool) -> bool:
         if result.status == 0:
             return result.effect == "not_run" or not has_token
-        return result.name in ("STOPPING", "NO_SHARE", "NO_CATALOGUE")
+        return result.name in NEXT_HOST_CODES
 
     async def _fetch(
         self,
--- /dev/null
+++ b/tests/system/harness.py
@@ -0,0 +1,134 @@
+"""Run load against a fleet of real processes and check the promises."""
+
+import asyncio
+import random
+from typing import Any
+
+from samphirelug.helpers import timer
+from standins import caller
+from standins import demo
+from standins import fleet
+from tests.system import checks
+
+TIMER = timer.LoopTimerService()
+SERVER_NAMES = [
+    f"{zone}-{index}"
+    for zones in demo.REGIONS.values()
+    for zone in zones
+    for index in "12"
+]
+# The demo's catalogue has these limits for each region.
+REGION_LIMIT = 12
+SHIFT_REQUESTS = 20
+SHIFT_INTERVAL_S = 5.0
+REPEATS = 40
+REPEAT_PAUSE_S = 0.5
+
+
+async def start(running: fleet.Fleet, *, service_s: float = 0.05) -> None:
+    """Start servers and entry hosts, and apply the demo's catalogue."""
+    await running.start_servers("servers", SERVER_NAMES, service_s=service_s)
+    await asyncio.gather(
+        *(running.start_host(name, wait=False) for name in running.places)
+    )
+    await demo.apply_catalogue(running)
+    for name in running.places:
+        await running.wait_host_ready(name)
+
+
+class Load:
+    """Send requests at random times and keep what each caller got."""
+
+    def __init__(self, *, running: fleet.Fleet, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.calls: list[checks.Call] = []
+        self.tasks: list[asyncio.Task[None]] = []
+        urls = [running.caller_url(name) for name in running.places]
+        self.callers = [
+            caller.Caller(lookup_urls=urls, place=place, timer_service=TIMER)
+            for place in demo.REGIONS
+        ]
+
+    async def run(
+        self, *, works: list[str], rate_per_s: float, seconds: float
+    ) -> None:
+        """Start requests for a time; wait() ends when all have ended."""
+        end_s = TIMER.monotonic() + seconds
+        while TIMER.monotonic() < end_s:
+            self.start_one(self.rng.choice(works))
+            await TIMER.sleep(self.rng.expovariate(rate_per_s))
+
+    def start_one(self, work: str) -> None:
+        """Start one request of a random caller."""
+        number = len(self.tasks)
+        client = self.rng.choice(self.callers)
+        self.tasks.append(
+            asyncio.get_running_loop().create_task(
+                self._call(client, work, f"{work}/{number}")
+            )
+        )
+
+    async def wait(self) -> None:
+        """Return when every caller has its result."""
+        await asyncio.gather(*self.tasks)
+        for client in self.callers:
+            client.close()
+
+    async def _call(
+        self, client: caller.Caller, work: str, work_id: str
+    ) -> None:
+        body = f"body of {work_id}"
+        found = await client.look_up(work)
+        if found.status != 200:
+            self.calls.append(checks.Call(work_id, body, found))
+            return
+        result = await client.call(
+            work, body=body, work_id=work_id, lookup=found.body
+        )
+        if found.body.get("run_token"):
+            result = await self._settle(client, found.body, result, work_id)
+        self.calls.append(checks.Call(work_id, body, result))
+
+    async def _settle(
+        self,
+        client: caller.Caller,
+        lookup: dict[str, Any],
+        result: caller.CallResult,
+        work_id: str,
+    ) -> caller.CallResult:
+        """Repeat with the same token, as callers are told to."""
+        for _ in range(REPEATS):
+            if result.status and result.name != "ATTEMPT_RUNNING":
+                break
+            await TIMER.sleep(REPEAT_PAUSE_S)
+            result = await client.call(
+                lookup["work"],
+                body=f"body of {work_id}",
+                work_id=work_id,
+                lookup=lookup,
+            )
+        return result
+
+
+async def check_promises(running: fleet.Fleet, load: Load) -> None:
+    """Assert what must hold under any failure."""
+    reports = await running.reports()
+    once = [c.work_id for c in load.calls if c.work_id.startswith("file-")]
+    assert checks.double_runs(reports, once) == []
+    assert checks.false_not_run(reports, load.calls) == []
+    assert checks.wrong_answers(load.calls) == []
+    assert checks.lost_without_code(load.calls) == []
+    assert checks.overfull_servers(reports) == {}
+    for region in demo.REGIONS:
+        assert checks.most_in_flight(reports, region) <= REGION_LIMIT
+        shifted = checks.most_shifted(reports, region, SHIFT_INTERVAL_S)
+        assert shifted <= SHIFT_REQUESTS
+
+
+def count_outcomes(load: Load) -> dict[str, int]:
+    """Return how many callers got each kind of result."""
+    outcomes: dict[str, int] = {}
+    for call in load.calls:
+        name = call.result.name
+        outcomes[name] = outcomes.get(name, 0) + 1
+    return outcomes
