Test pending seat writes and record guard removals

Cause: two guards of the seat keeper could be removed without a failing test: keeping units of a pending write out of use, and counting on the least of several pending writes. Ruled out: relying on the cap at the fair share, which hides both until the share grows again while the write is pending. Change: a test delays a lowering write past its lost answer and lets the share grow meanwhile. A pending write is written over at the next look, so that its cap ends. The wait before a seat expires is computed in one place.

--- a/src/samphirelug/components/quota/seat_keeper.py
+++ b/src/samphirelug/components/quota/seat_keeper.py
@@ -264,7 +264,8 @@
                 state.next_look_s = min(state.next_look_s, takeover_s)
             return
         plan = self._plan(state, now)
-        if not plan.changed and now < state.renew_at_s and not state.leaving:
+        settled = not plan.changed and state.pending_on is None
+        if settled and now < state.renew_at_s:
             self._look_again(state, now)
             return
         if self._is_gone(state) and plan.seat is None:
@@ -281,7 +282,6 @@
         # Every attempt has its own counter, which tells when the one that
         # took effect was sent.
         renewal = 1 + max(*state.sent, mine.renewal if mine else 0, 0)
-        wait_s = self.settings.lease_s + state.hold_s + self.settings.margin_s
         return seats.plan_seat(
             table=state.table,
             host=self.host.name,
@@ -295,7 +295,7 @@
                 for key in state.limits.keys()
                 | (mine.units.keys() if mine else set())
             },
-            expired=state.tracker.expired(now=now, wait_s=wait_s),
+            expired=self._expired(state, now),
             leaving=state.leaving,
         )
 
@@ -308,9 +308,16 @@
         if mine.address == self.host.peer_url:
             # The old process is gone, but its requests and loans may last.
             return now >= self.started_at_s + state.hold_s
-        wait_s = self.settings.lease_s + state.hold_s + self.settings.margin_s
-        expired = state.tracker.expired(now=now, wait_s=wait_s)
-        return self.host.name in expired
+        return self.host.name in self._expired(state, now)
+
+    def _expired(self, state: GroupState, now: float) -> frozenset[str]:
+        """Return the seats whose units nobody can still be using."""
+        return state.tracker.expired(
+            now=now,
+            wait_s=self.settings.lease_s
+            + state.hold_s
+            + self.settings.margin_s,
+        )
 
     async def _read(self, state: GroupState) -> bool:
         answer = await self.store.get(state.key)
--- a/tests/components/quota/simulation.py
+++ b/tests/components/quota/simulation.py
@@ -96,6 +96,8 @@
         self.revision = 0
         self.store_up = True
         self.failure_rate = 0.0
+        # Writes take effect this much later, after their answer is lost.
+        self.write_delay_s = 0.0
         self.calls = 0
         self.writes = 0
         self.hosts: dict[str, Host] = {}
@@ -456,6 +458,8 @@
         action: Callable[
             [], Result[store_model.StoredObject, result_codes.Refusal]
         ],
+        *,
+        extra_delay_s: float = 0.0,
     ) -> Result[store_model.StoredObject, result_codes.Refusal]:
         world = self.host.world
         world.calls += 1
@@ -463,7 +467,7 @@
             await self.host.timer.sleep(STEP_S)
             return self.refuse(CODES.STORE_UNAVAILABLE)
         box: list[Result[store_model.StoredObject, result_codes.Refusal]] = []
-        delay_s = world.rng.random() * STEP_S
+        delay_s = world.rng.random() * STEP_S + extra_delay_s
         if world.fails():
             # May take effect long after the caller has given up waiting.
             delay_s = world.rng.uniform(1.0, 8.0)
@@ -512,7 +516,9 @@
             world.objects[key] = stored
             return Success(stored)
 
-        return await self.call(action)
+        return await self.call(
+            action, extra_delay_s=self.host.world.write_delay_s
+        )
 
     async def list(
         self, prefix: str
--- a/tests/components/quota/test_seat_keeper.py
+++ b/tests/components/quota/test_seat_keeper.py
@@ -262,6 +262,30 @@
     simulate(scenario)
 
 
+def test_units_of_a_pending_write_stay_out_of_use() -> None:
+    """A write that lowers units may take effect after others were sent."""
+
+    async def scenario(world: simulation.World) -> None:
+        host = world.start("eh1", ZONES["eh1"])
+        # Units in use could not be given back.
+        host.demand = 0.0
+        await world.run(10.0)
+        assert shares(world) == {"eh1": 7}
+        world.write_delay_s = 4.0
+        host.keeper.hosts_of = lambda _: frozenset(("eh1", "eh2"))
+        await world.run(1.5)
+        host.keeper.hosts_of = lambda _: frozenset(("eh1",))
+        for _ in range(8):
+            await world.run(0.25)
+            assert stored_units(world) == {"eh1": 7}
+            assert shares(world)["eh1"] in (3, 4)
+        world.write_delay_s = 0.0
+        await world.run(20.0)
+        assert shares(world) == {"eh1": 7}
+
+    simulate(scenario)
+
+
 def test_region_without_entry_hosts_is_used_by_the_nearest() -> None:
     """Its backend servers would be unreachable otherwise."""
 
