--- a/src/samphirelug/components/catalogue/state.py
+++ b/src/samphirelug/components/catalogue/state.py
@@ -60,23 +60,20 @@
         """Return what changed after a revision, oldest first.
 
         A delta above MAX_DELTA_BYTES ends early, with the revision that it
-        is complete up to; the receiver asks again from there.
+        is complete up to; the receiver asks again from there. Changes beyond
+        the position are included, since each stands for an older version
+        that the receiver would otherwise lack.
         """
         found: list[model.CatalogueObject] = []
         size = 0
         for item in sorted(
-            (
-                item
-                for item in self.objects.values()
-                if since < item.revision <= self.position
-            ),
+            (item for item in self.objects.values() if item.revision > since),
             key=lambda item: item.revision,
         ):
             size += self._size_of(item)
             if found and size > MAX_DELTA_BYTES:
-                return model.CatalogueDelta(
-                    since, found[-1].revision, tuple(found)
-                )
+                revision = min(found[-1].revision, self.position)
+                return model.CatalogueDelta(since, revision, tuple(found))
             found.append(item)
         return model.CatalogueDelta(since, self.position, tuple(found))
 
--- a/src/samphirelug/components/catalogue/sync.py
+++ b/src/samphirelug/components/catalogue/sync.py
@@ -44,6 +44,10 @@
 PULL_INTERVAL_S = 0.2
 PULL_TIMEOUT_S = 1.0
 PULL_PENALTY_S = 2.0
+# Positions also grow without a catalogue change, with every other write to
+# the store. Without a pause after a pull that brought none, a host with many
+# peers would pull five times a second.
+EMPTY_PULL_PAUSE_S = 1.0
 BACKOFF_FIRST_S = 0.25
 # Half the time in which a change has to be in force.
 BACKOFF_MAX_S = 2.0
@@ -273,6 +277,7 @@
     async def _pull(self, peer: peers_model.PeerView, since: int) -> None:
         name = peer.heartbeat.host.name
         before = self.state.position
+        empty = False
         answer = await self.mesh.request(
             name,
             peers_model.CatalogueRequest(since=since),
@@ -285,9 +290,12 @@
                     self.complete_at, peer.heartbeat.catalogue_revision
                 )
             self.state.apply_delta(reply.delta)
+            empty = not reply.delta.objects
         if self.state.position > before:
             self.heard_at_s = self.timer.monotonic()
             self._after_change()
+            if empty:
+                await self.timer.sleep(EMPTY_PULL_PAUSE_S)
         elif since == before:
             # It did not give what it announced; ask another one first.
             self.penalty_until_s[name] = (
@@ -383,6 +391,7 @@
             delta.since,
         )
         self.mesh.broadcast(peers_model.CatalogueReply(delta))
+        # A large repair comes in parts.
         while delta.revision < self.state.position:
             delta = self.state.delta_since(delta.revision)
             self.mesh.broadcast(peers_model.CatalogueReply(delta))
--- a/tests/components/catalogue/test_state.py
+++ b/tests/components/catalogue/test_state.py
@@ -1,13 +1,13 @@
 """Test that the applied catalogue only moves forward."""
 
 from hypothesis import given
+from hypothesis import settings
 from hypothesis import strategies
 
 from samphirelug.components.catalogue import codec
 from samphirelug.components.catalogue import model
 from samphirelug.components.catalogue import schema
 from samphirelug.components.catalogue import state as catalogue_state
-from samphirelug.components.store import model as store_model
 from samphirelug import core
 from standins import store as store_standin
 from tests import builders
@@ -31,16 +31,27 @@
     store.put(f"catalogue/{key}", dict(body), stored.revision if stored else 0)
 
 
-def latest_valid(
-    store: store_standin.StoreCore, key: str, up_to: int
+def version_at(
+    store: store_standin.StoreCore, key: str, revision: int
 ) -> model.CatalogueObject | None:
+    """Return the key's version as of a revision, None if not valid."""
     found = None
     for item in store.history:
-        if item.key == f"catalogue/{key}" and item.revision <= up_to:
-            found = codec.decode_object(item).value_or(None) or found
-    return found
+        if item.key == f"catalogue/{key}" and item.revision <= revision:
+            found = item
+    return codec.decode_object(found).value_or(None) if found else None
 
 
+def assert_position_is_true(
+    store: store_standin.StoreCore, state: catalogue_state.CatalogueState
+) -> None:
+    for key in KEYS:
+        newest = version_at(store, key, state.position)
+        if newest is not None:
+            assert state.objects[key].revision >= newest.revision
+
+
+@settings(max_examples=400)
 @given(
     strategies.lists(
         strategies.tuples(
@@ -84,6 +95,7 @@
             found["position"] = each.position
             assert all(found[key] >= known[key] for key in known)
             known.update(found)
+            assert_position_is_true(store, each)
             works = each.view.works
             for key, item in each.objects.items():
                 name = key.partition("/")[2]
@@ -93,19 +105,14 @@
         state.apply_listing(store.list(codec.PREFIX))
         assert state.position == store.revision
         for key in KEYS:
-            newest = latest_valid(store, key, store.revision)
-            stored = store.objects.get(f"catalogue/{key}")
-            if newest is not None and newest.revision == stored_at(stored):
+            newest = version_at(store, key, store.revision)
+            if newest is not None:
                 assert state.objects[key] == newest
                 assert key not in state.rejected
-            elif stored is not None:
+            elif f"catalogue/{key}" in store.objects:
                 assert key in state.rejected
 
 
-def stored_at(stored: store_model.StoredObject | None) -> int:
-    return stored.revision if stored else 0
-
-
 def test_invalid_entry_leaves_the_former_version_in_force() -> None:
     """Guard against an entry that vanishes when its update is not valid."""
     store = store_standin.StoreCore()
@@ -168,3 +175,20 @@
     peer.apply_delta(repair)
     assert peer.objects == state.objects
     assert state.take_repair() is None
+
+
+def test_delta_holds_what_replaced_an_older_version() -> None:
+    """Guard against a delta that lacks an entry changed since its end."""
+    store = store_standin.StoreCore()
+    write(store, "work/a", valid=True, deleted=False)
+    state = catalogue_state.CatalogueState()
+    state.apply_watch(store.changes(codec.PREFIX, 0), 0)
+    write(store, "work/b", valid=True, deleted=False)
+    write(store, "work/a", valid=True, deleted=False)
+    # The answer starts beyond the position, which stays at 1.
+    state.apply_watch(store.changes(codec.PREFIX, 2), 2)
+    peer = catalogue_state.CatalogueState()
+    peer.apply_delta(state.delta_since(0))
+    assert peer.position == 1
+    assert peer.objects["work/a"].revision == 3
+    assert_position_is_true(store, peer)
