--- a/tests/components/peers/test_io_mesh.py
+++ b/tests/components/peers/test_io_mesh.py
@@ -9,6 +9,7 @@
 import pytest
 from returns.pipeline import is_successful
 from websockets.asyncio import client
+from websockets.asyncio import server
 from websockets import exceptions
 
 from samphirelug.components.peers import auth
@@ -468,3 +469,29 @@
         await asyncio.wait_for(asyncio.gather(*closed), 1.0)
 
     run(test)
+
+
+def test_a_server_that_does_not_know_the_secret_is_left() -> None:
+    """Guards against sending heartbeats and work to an impostor."""
+
+    async def test(cluster: Cluster) -> None:
+        closed: list[int | None] = []
+
+        async def impostor(websocket: server.ServerConnection) -> None:
+            challenge = model.Challenge(1, 1, "eh9", "nonce")
+            await websocket.send(codec.encode(challenge))
+            await websocket.recv()
+            welcome = model.Welcome(1, builders.make_host("eh9"), "token")
+            await websocket.send(codec.encode(welcome))
+            await websocket.wait_closed()
+            closed.append(websocket.close_code)
+
+        async with server.serve(impostor, "127.0.0.1", 0) as listener:
+            port = next(iter(listener.sockets)).getsockname()[1]
+            peer = await cluster.add("eh1", seeds=(f"ws://127.0.0.1:{port}/",))
+            await until(lambda: bool(closed), limit_s=3.0)
+            await peer.stop()
+        assert closed[0] == 4001
+        assert "eh9" not in peer.membership.members
+
+    run(test)
