Wire early heartbeats and the setting for kept look-ups

Cause: the look-up told callers to keep an answer for 10 s whatever the setting was, so a planned stop with a shorter setting refused callers that still held an answer (STOPPING seen 1 s after the stop's wait). Ruled out: the stop's order; the refused callers' answers were 3 s old. Change: the look-up takes the setting; state and position changes are sent in an early heartbeat; the mesh says which host watches the store.

--- a/src/samphirelug/components/steering/lookup.py
+++ b/src/samphirelug/components/steering/lookup.py
@@ -57,7 +57,9 @@
         issuer: Issuer,
         own_heartbeat: Callable[[], peers_model.Heartbeat],
         timer: timer_helper.TimerService,
+        keep_s: float = shared_const.LOOKUP_KEEP_S,
     ) -> None:
+        self.keep_s = keep_s
         self.catalogue = catalogue
         self.mesh = mesh
         self.issuer = issuer
@@ -151,7 +153,7 @@
         answer = model.LookupAnswer(
             work=work,
             rank=rank,
-            keep_s=shared_const.LOOKUP_KEEP_S,
+            keep_s=self.keep_s,
             entry_hosts=tuple(
                 model.NamedEntryHost(
                     name=beat.host.name,
--- a/src/samphirelug/entry_host.py
+++ b/src/samphirelug/entry_host.py
@@ -24,7 +24,6 @@
 from samphirelug.components.peers import hosts
 from samphirelug.components.peers import io_mesh
 from samphirelug.components.peers import model as peers_model
-from samphirelug.components.peers import topology
 from samphirelug.components.quota import ledger
 from samphirelug.components.quota import limits
 from samphirelug.components.quota import loans
@@ -194,6 +193,7 @@
             issuer=self.issuer,
             own_heartbeat=self.heartbeat,
             timer=self.timer,
+            keep_s=self.settings.lookup_keep_s,
         )
         self.service = service.CallerService(
             host=self.host,
@@ -222,7 +222,7 @@
             timer=self.timer,
             rng=self.rng,
             host=self.host,
-            is_watcher=self.is_watcher,
+            is_watcher=self.mesh.is_watcher,
             region_of=self.region_of_zone,
             on_entry_hosts=self.mesh.set_known_hosts,
             on_servers=self._on_listed_servers,
@@ -275,15 +275,6 @@
         # A region without entry hosts of its own is served by all others.
         return frozenset(host.name for host in near or known)
 
-    def is_watcher(self) -> bool:
-        """Return whether this host watches the store for its zone."""
-        members = [
-            peer.heartbeat.host.name
-            for peer in self.mesh.live_peers()
-            if peer.heartbeat.host.zone.name == self.host.zone.name
-        ]
-        return topology.is_watcher(self.host, members)
-
     def region_of_zone(self, zone: str) -> str | None:
         """Return the region of an availability zone of the catalogue."""
         found = self.catalogue.view.zones.get(zone)
@@ -348,6 +339,7 @@
             await self.timer.sleep(IN_FLIGHT_POLL_S)
         if self.state is core.EntryHostState.STARTING:
             self.state = core.EntryHostState.SERVING
+            self.mesh.heartbeat_now()
             LOGGER.info(
                 "serving with catalogue position %d", self.catalogue.position
             )
@@ -361,7 +353,7 @@
         was_serving = self.state is core.EntryHostState.SERVING
         self.state = core.EntryHostState.LEAVING
         LOGGER.info("leaving: look-ups name other entry hosts from now on")
-        self.mesh.broadcast(self.heartbeat())
+        self.mesh.heartbeat_now()
         if was_serving and self.mesh.live_peers():
             keep_s = self.settings.lookup_keep_s + LEAVING_MARGIN_S
             await self.timer.sleep(keep_s)
@@ -426,6 +418,7 @@
         self.ledger.set_limits(limits.quota_limits(view))
         self.health.set_known(view.servers)
         self.host_list.publish()
+        self.mesh.heartbeat_now()
         LOGGER.info("catalogue position %d in force", self.catalogue.position)
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -129,8 +129,9 @@
             headers[const.HEADER_RUN_TOKEN] = lookup["run_token"]
         request = PreparedCall(work, path, method, body, deadline_s, headers)
         result = await self._try_hosts(request, lookup, started_s)
-        if result.status == 0 and not lookup.get("run_token"):
-            # None of the hosts of a kept look-up answer is there any more.
+        gone = result.status == 0 or result.name in NEXT_HOST_CODES
+        if gone and not lookup.get("run_token"):
+            # None of the hosts of a kept look-up answer serves any more.
             found = await self.look_up(work, fresh=True)
             if found.status == 200:
                 result = await self._try_hosts(request, found.body, started_s)
