Test admission and steering with the real ledger

Cause: the core of admission and steering had only been run by its harness.

Ruled out: fakes of the ledger, since the real one is merged and cheap.

--- /dev/null
+++ b/tests/components/steering/fakes.py
@@ -0,0 +1,67 @@
+"""Stand in for the mesh and the token issuer."""
+
+from returns.result import Failure
+from returns.result import Result
+
+from samphirelug.components.peers import mesh
+from samphirelug.components.peers import model
+from samphirelug import core
+from samphirelug.helpers import timer as timer_helper
+from samphirelug import result_codes
+
+
+class FakeMesh(mesh.PeerMesh):
+    """Show the peers whose heartbeats a test sets."""
+
+    def __init__(self, *, timer: timer_helper.TimerService) -> None:
+        self.timer = timer
+        self.beats: list[model.Heartbeat] = []
+
+    def live_peers(self) -> tuple[model.PeerView, ...]:
+        """Return all peers as heard now."""
+        now = self.timer.monotonic()
+        return tuple(model.PeerView(beat, now, True) for beat in self.beats)
+
+    async def request(
+        self,
+        host: str,
+        message: model.Message,  # noqa: ARG002
+        *,
+        timeout_s: float,  # noqa: ARG002
+    ) -> Result[model.Message, result_codes.Refusal]:
+        """Reach nobody."""
+        return Failure(
+            result_codes.Refusal(
+                result_codes.ResultCode.PEER_UNREACHABLE, host
+            )
+        )
+
+    def send(self, host: str, message: model.Message) -> None:
+        """Send nothing."""
+
+    def broadcast(self, message: model.Message) -> None:
+        """Send nothing."""
+
+    def set_handler(self, kind: type, handler: mesh.Handler) -> None:
+        """Call nothing."""
+
+
+class FakeIssuer:
+    """Number the tokens."""
+
+    def __init__(self) -> None:
+        self.issued = 0
+
+    def issue(
+        self,
+        *,
+        work: str,
+        host: core.EntryHost,
+        home_region: str,
+        clock_ms: int,
+    ) -> str:
+        """Return a token that differs from all before."""
+        self.issued += 1
+        return (
+            f"{work}/{host.incarnation}/{home_region}/{clock_ms}/{self.issued}"
+        )
