Place every bundle of a grant in the step in which it arrives

Cause: a host with eight queued requests and a grant of six bundles placed one of them and let the others lie idle until the next grant. The flow was marked as having seen the loans before it had taken all it could.

Ruled out: asking for fewer bundles at a time (the grants were right).

Change: a flow is marked only when no bundle is left for it in any region. A test runs two hosts with the real Borrower, with the lender reachable or not.

--- a/src/samphirelug/components/admission/controller.py
+++ b/src/samphirelug/components/admission/controller.py
@@ -358,7 +358,6 @@
             if region in regions
         }
         loans = flow.loans_seen != self.loans_seen
-        flow.loans_seen = self.loans_seen
         permit = None
         for region in regions:
             if region != home and not self._may_leave(flow, since_s, now):
@@ -369,6 +368,9 @@
             if permit is not None:
                 self._count_dispatch(flow, region, now)
                 break
+        else:
+            # No bundle is at hand in any region until new ones come.
+            flow.loans_seen = self.loans_seen
         return permit
 
     def _place_own(
--- a/tests/components/admission/harness.py
+++ b/tests/components/admission/harness.py
@@ -17,8 +17,10 @@
 from samphirelug.components.backend import model as backend_model
 from samphirelug.components.catalogue import view as catalogue_view
 from samphirelug.components.metrics import registry
+from samphirelug.components.peers import mesh as peers_mesh
 from samphirelug.components.quota import ledger as quota_ledger
 from samphirelug.components.quota import limits
+from samphirelug.components.quota import loans
 from samphirelug.components.steering import health as steering_health
 from samphirelug.components.steering import planner as steering_planner
 from samphirelug import core
@@ -98,8 +100,10 @@
         seats: tuple[str, ...] = ("tallinn",),
         links: bool = True,
         seed: int = 1,
+        timer: timer_helper.ManualTimerService | None = None,
+        mesh: peers_mesh.PeerMesh | None = None,
     ) -> None:
-        self.timer = timer_helper.ManualTimerService(start_s=100.0)
+        self.timer = timer or timer_helper.ManualTimerService(start_s=100.0)
         self.rng = random.Random(seed)
         self.catalogue = Catalogue(view or builders.make_view())
         self.ledger = quota_ledger.QuotaLedger(timer=self.timer)
@@ -116,6 +120,14 @@
             self.seat(group)
         self.health = steering_health.ServerHealth(timer=self.timer)
         self.loans = FakeLoans()
+        borrower: ports.Loans = self.loans
+        if mesh is not None:
+            borrower = loans.Borrower(
+                ledger=self.ledger,
+                mesh=mesh,
+                timer=self.timer,
+                host=builders.make_host(),
+            )
         self.planner = steering_planner.SteeringPlanner(
             catalogue=self.catalogue,
             health=self.health,
@@ -126,7 +138,7 @@
         self.admission = controller.AdmissionController(
             catalogue=self.catalogue,
             ledger=self.ledger,
-            borrower=self.loans,
+            borrower=borrower,
             planner=self.planner,
             timer=self.timer,
             metrics=registry.Metrics(),
--- a/tests/components/admission/test_controller.py
+++ b/tests/components/admission/test_controller.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies
 import pytest
 from returns.result import Failure
+from returns.result import Result
 from returns.result import Success
 
 from samphirelug.components.admission import model
@@ -16,7 +17,9 @@
 from samphirelug.components.quota import model as quota_model
 from samphirelug import core
 from samphirelug import result_codes
+from tests import builders
 from tests.components.admission import harness
+from tests.components.steering import fakes
 
 Code = result_codes.ResultCode
 URGENT, INTERACTIVE, EXPORT = core.Rank
@@ -265,6 +268,69 @@
     run(test())
 
 
+class LenderMesh(fakes.FakeMesh):
+    """Reach one lender, which may be made unreachable."""
+
+    def __init__(self, lender: harness.Harness) -> None:
+        super().__init__(timer=lender.timer)
+        self.lender = lender
+        self.reachable = True
+
+    def live_peers(self) -> tuple[peers_model.PeerView, ...]:
+        """Return the lender with its headroom."""
+        beat = peers_model.Heartbeat(
+            host=builders.make_host("eh2"),
+            state=core.EntryHostState.SERVING,
+            clock_ms=0,
+            catalogue_revision=1,
+            headroom=self.lender.admission.headroom(),
+            queued=(0, 0, 0),
+            wait_s=(0.0, 0.0, 0.0),
+            sightings=(),
+        )
+        now = self.timer.monotonic()
+        return (peers_model.PeerView(beat, now, True),)
+
+    async def request(
+        self, host: str, message: peers_model.Message, *, timeout_s: float
+    ) -> Result[peers_model.Message, result_codes.Refusal]:
+        """Ask the lender's admission."""
+        if not self.reachable or not isinstance(
+            message, peers_model.GrantRequest
+        ):
+            return await super().request(host, message, timeout_s=timeout_s)
+        return Success(self.lender.admission.grant(message, borrower="eh1"))
+
+
+@pytest.mark.parametrize("reachable", [True, False])
+def test_host_without_units_borrows_or_refuses(reachable: bool) -> None:
+    """Guards against lent units that are not used, or waited for vainly."""
+
+    async def test() -> None:
+        lender = harness.Harness()
+        mesh = LenderMesh(lender)
+        mesh.reachable = reachable
+        rig = harness.Harness(seats=(), timer=lender.timer, mesh=mesh)
+        requests = [rig.request(URGENT) for _ in range(8)]
+        tasks = [rig.submit(request) for request in requests]
+        await rig.advance(0.5)
+        assert all(task.done() for task in tasks)
+        if not reachable:
+            codes = {code_of(task.result()) for task in tasks}
+            assert codes == {Code.NO_SHARE}
+            return
+        # The lender and the borrower together never pass the limit.
+        assert lender.ledger.free("region:tallinn") == 12 - 8
+        for request, task in zip(requests, tasks, strict=True):
+            rig.finish(request, task.result().unwrap())
+        await harness.settle()
+        again = rig.submit(rig.request(URGENT))
+        await harness.settle()
+        assert isinstance(again.result(), Success)
+
+    run(test())
+
+
 def test_finish_twice_frees_units_once() -> None:
     """Guards against units that come back twice."""
 
