Refuse by the request's own wait, not by the longest of its rank

Cause: requests were refused with DEADLINE_UNREACHABLE far below capacity. The gateway compared each deadline with the longest wait of the rank, and for callers of another region that wait came from a rate of dispatches measured while nothing queued (27 s after a single request). Ruled out: missing units (the status page showed them free) and the order of the planned stop. Change: the gateway asks admission about the request itself; a wait without own units is unknown until requests have queued for the rate's window; waits for loans no longer count in what look-ups are refused by; a planned stop also waits for run tokens whose callers have left.

--- a/src/samphirelug/components/admission/controller.py
+++ b/src/samphirelug/components/admission/controller.py
@@ -300,11 +300,15 @@
         """Return seconds until a new request of the rank finds room.
 
         Flows held up by their own work entry's limit do not count, since
-        other work of the rank does not wait for them.
+        other work of the rank does not wait for them. Flows of callers from
+        other regions do not either: they wait for loans, and look-ups near
+        this host must not be refused for their sake.
         """
         now = self.timer.monotonic()
         worst_s = 0.0
         for flow in self.queues[rank].flows.values():
+            if flow.key.home_region != self.host.zone.region:
+                continue
             if self._cause(flow) is Code.WORK_LIMIT:
                 continue
             wait_s = self._wait(flow, now)
@@ -857,6 +861,10 @@
                 ahead = own.by_work.get(flow.key.work, 0)
             if block.code is Code.SHIFT_CAP:
                 linger_s = self.ledger.linger_s(block.key) or 0.0
+        if places <= 0.0 and not self._is_backlogged(flow, now):
+            # Without own units only the rate of dispatches is known, and
+            # that shows what was asked for until requests have to queue.
+            return math.inf
         entry = self.catalogue.view.regions.get(region)
         part = 0.0
         if entry is not None and flow.rank:
@@ -871,6 +879,10 @@
             now=now,
         )
 
+    def _is_backlogged(self, flow: queue.Flow, now: float) -> bool:
+        head = flow.head()
+        return head is not None and (now - head.since_s >= const.RATE_WINDOW_S)
+
     def _own_time(self, flow: queue.Flow) -> float:
         """Return the seconds before its deadline a request is needed by."""
         work = self.catalogue.view.works.get(flow.key.work)
--- a/src/samphirelug/components/gateway/service.py
+++ b/src/samphirelug/components/gateway/service.py
@@ -119,24 +119,24 @@
         deadline_s = min(
             headers.deadline_s or work["deadline_s"], work["deadline_s"]
         )
-        wait_s = self.admission.wait_s(rank)
-        if wait_s >= deadline_s and not self._is_repeat(fields):
-            return Failure(
-                result_codes.Refusal(
-                    result_codes.ResultCode.DEADLINE_UNREACHABLE,
-                    f"the wait for {rank.label} work is {wait_s:.1f} s, the "
-                    f"deadline {deadline_s:.1f} s",
-                    wait_s,
-                )
-            )
+        deadline_at_s = self.timer.monotonic() + deadline_s
+        home_region = self._home_region(headers)
+        refusal = self.admission.refusal_for(
+            work=route.work,
+            home_region=home_region,
+            deadline_at_s=deadline_at_s,
+            body_bytes=headers.content_length or 0,
+        )
+        if refusal is not None and not self._is_repeat(fields):
+            return Failure(refusal)
         return Success(
             Draft(
                 route=route,
                 headers=headers,
                 method=method,
                 max_body_bytes=work["max_body_bytes"],
-                deadline_at_s=self.timer.monotonic() + deadline_s,
-                home_region=self._home_region(headers),
+                deadline_at_s=deadline_at_s,
+                home_region=home_region,
             )
         )
 
--- a/src/samphirelug/entry_host.py
+++ b/src/samphirelug/entry_host.py
@@ -374,15 +374,19 @@
         LOGGER.info("stopped")
 
     async def _wait_in_flight(self) -> None:
+        """Wait for requests, and for run tokens whose callers have left."""
         end_s = self.timer.monotonic() + const.MAX_REQUEST_S + STOP_MARGIN_S
-        while self.service.in_flight and self.timer.monotonic() < end_s:
+        while self._in_flight() and self.timer.monotonic() < end_s:
             await self.timer.sleep(IN_FLIGHT_POLL_S)
-        if self.service.in_flight:
+        if self._in_flight():
             LOGGER.error(
                 "%d requests still in flight at the bound of the stop",
-                self.service.in_flight,
+                self._in_flight(),
             )
 
+    def _in_flight(self) -> int:
+        return self.service.in_flight + len(self.executor.runs)
+
     async def _on_sighting(
         self, sender: str, message: peers_model.Message
     ) -> None:
