Test whole sessions by golden files, and operators against real hosts

Cause: the messages that callers and servers see, and the operator's guarantees, were not pinned down by any test. Ruled out: recording through a proxy; a raw server and a raw caller see every byte with less code. Change: one golden session of 14 exchanges; tests for a change in force, a lagging host that is named, two operators, a lost answer and a process with another secret.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -78,6 +78,7 @@
         self.directory = tempfile.TemporaryDirectory(prefix="samphirelug-")
         self.store_port = free_ports(1)[0]
         self.ports = {name: self._host_ports() for name in self.places}
+        self.secrets: dict[str, str] = {}
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.server_ports: dict[str, int] = {}
 
@@ -156,6 +157,12 @@
             wait_ready=True,
         )
 
+    def add_host(self, place: HostPlace, *, secret: str = SECRET) -> None:
+        """Add an entry host that the others are not told of."""
+        self.places[place.name] = place
+        self.ports[place.name] = self._host_ports()
+        self.secrets[place.name] = secret
+
     async def start_host(self, name: str, *, wait: bool = True) -> None:
         """Start an entry host and wait until it is ready."""
         place = self.places[name]
@@ -178,7 +185,7 @@
             "operator-port": ports.operator,
             "store-url": self.store_url,
             "cluster": "demo",
-            "cluster-secret": SECRET,
+            "cluster-secret": self.secrets.get(name, SECRET),
         }
         words = [w for k, v in flags.items() for w in (f"--{k}", str(v))]
         for seed in seeds:
@@ -229,6 +236,15 @@
         response = await self.client.fetch(url)
         return dict(json.loads(response.body))
 
+    async def get_text(self, url: str) -> str:
+        """Return the text at an address."""
+        response = await self.client.fetch(url)
+        return response.body.decode()
+
+    async def post_json(self, url: str, body: dict[str, Any]) -> None:
+        """Post a JSON object to an address."""
+        await self.client.fetch(url, method="POST", body=json.dumps(body))
+
     async def put_json(self, url: str, body: dict[str, Any]) -> None:
         """Send a JSON object to an address."""
         await self.client.fetch(url, method="PUT", body=json.dumps(body))
--- /dev/null
+++ b/tests/system/test_operators.py
@@ -0,0 +1,182 @@
+"""Test the operator commands against real entry hosts and a store."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import pathlib
+import signal
+from typing import Any
+
+import yaml
+
+from samphirelug import result_codes
+from standins import demo
+from standins import fleet
+from tests.system import harness
+
+Code = result_codes.ResultCode
+IN_FORCE_S = 4.0
+
+
+def run_fleet(scenario: Callable[[fleet.Fleet], Awaitable[None]]) -> None:
+    """Run a scenario on a fresh fleet."""
+
+    async def run() -> None:
+        async with fleet.Fleet(places=demo.PLACES) as running:
+            await harness.start(running)
+            await scenario(running)
+
+    asyncio.run(run())
+
+
+async def set_store_faults(running: fleet.Fleet, **faults: Any) -> None:
+    """Set the faults of the store's stand-in; others are cleared."""
+    await running.post_json(f"{running.store_url}/control/faults", faults)
+
+
+async def write_region(running: fleet.Fleet, *, max_in_flight: int) -> str:
+    """Write a file with a changed region and return its path."""
+    entries = demo.demo_catalogue(running.server_ports)
+    region = next(entry for entry in entries if entry["name"] == "tartu")
+    region["max_in_flight"] = max_in_flight
+    path = pathlib.Path(running.directory.name, f"{max_in_flight}.yaml")
+    path.write_text(yaml.safe_dump(region))
+    return str(path)
+
+
+async def apply(
+    running: fleet.Fleet, path: str, *words: str
+) -> tuple[int, str, str]:
+    """Run the command that applies a file."""
+    return await running.command(
+        "catalogue", "apply", path, "--store-url", running.store_url, *words
+    )
+
+
+def host_flags(running: fleet.Fleet) -> list[str]:
+    """Return the flags that name every entry host."""
+    return [
+        word
+        for name in running.places
+        for word in ("--entry-host-url", running.operator_url(name))
+    ]
+
+
+async def current_region(running: fleet.Fleet) -> dict[str, Any]:
+    """Return the stored object of the region that the tests change."""
+    return await running.get_json(
+        f"{running.store_url}/v1/objects/catalogue/region/tartu"
+    )
+
+
+def test_change_is_in_force_on_every_host() -> None:
+    """Guards against a change that is called in force and is not."""
+
+    async def scenario(running: fleet.Fleet) -> None:
+        path = await write_region(running, max_in_flight=7)
+        code, out, err = await apply(
+            running,
+            path,
+            "--wait",
+            "--timeout-s",
+            str(IN_FORCE_S),
+            *host_flags(running),
+        )
+        assert code == 0, (out, err)
+        revision = (await current_region(running))["revision"]
+        for name in running.places:
+            status = await running.get_json(
+                f"{running.operator_url(name)}/v1/status"
+            )
+            assert status["catalogue_position"] >= revision
+
+    run_fleet(scenario)
+
+
+def test_paused_host_is_named_as_lagging() -> None:
+    """Guards against "in force" that is assumed and not observed."""
+
+    async def scenario(running: fleet.Fleet) -> None:
+        running.signal("eh-tartu", signal.SIGSTOP)
+        path = await write_region(running, max_in_flight=7)
+        code, out, err = await apply(
+            running,
+            path,
+            "--wait",
+            "--timeout-s",
+            "3",
+            *host_flags(running),
+        )
+        assert code == Code.NOT_IN_FORCE.exit_code, (out, err)
+        assert running.operator_url("eh-tartu") in err or "eh-tartu" in err
+
+    run_fleet(scenario)
+
+
+def test_two_operators_get_one_conflict() -> None:
+    """Guards against a change that another one overwrites silently."""
+
+    async def scenario(running: fleet.Fleet) -> None:
+        paths = [
+            await write_region(running, max_in_flight=limit)
+            for limit in (7, 8)
+        ]
+        before = await current_region(running)
+        # Both read before either writes, since the store answers late.
+        await set_store_faults(running, delay_s=0.5)
+        results = await asyncio.gather(*(apply(running, p) for p in paths))
+        await set_store_faults(running)
+        codes = sorted(code for code, _, _ in results)
+        assert codes == [0, Code.CATALOGUE_CONFLICT.exit_code], results
+        loser = next(r for r in results if r[0])
+        assert "7" in loser[2] + loser[1]
+        assert "8" in loser[2] + loser[1]
+        after = await current_region(running)
+        assert after["revision"] > before["revision"]
+
+    run_fleet(scenario)
+
+
+def test_lost_answer_means_success_once() -> None:
+    """Guards against a conflict with oneself and a second version."""
+
+    async def scenario(running: fleet.Fleet) -> None:
+        path = await write_region(running, max_in_flight=7)
+        before = await current_region(running)
+        await set_store_faults(running, lose_answers=1)
+        code, out, err = await apply(running, path)
+        assert code == 0, (out, err)
+        after = await current_region(running)
+        assert after["value"]["entry"]["max_in_flight"] == 7
+        assert after["value"]["change_id"] != before["value"]["change_id"]
+        assert out.count("applied") == 1
+
+    run_fleet(scenario)
+
+
+def test_stranger_is_turned_away() -> None:
+    """Guards against a process without the secret that joins the mesh."""
+
+    async def scenario(running: fleet.Fleet) -> None:
+        await running.start_host("eh-tartu-2", wait=False)
+        await harness.TIMER.sleep(3)
+        status = await running.get_json(
+            f"{running.operator_url('eh-tartu')}/v1/status"
+        )
+        names = {peer["name"] for peer in status["peers"]}
+        assert names == {"eh-tallinn", "eh-tallinn-2"}
+        metrics = await running.get_text(
+            f"{running.operator_url('eh-tartu')}/metrics"
+        )
+        assert "peer_unauthenticated" in metrics
+
+    async def run() -> None:
+        async with fleet.Fleet(places=demo.PLACES) as running:
+            await harness.start(running)
+            running.add_host(
+                fleet.HostPlace("eh-tartu-2", "tartu-b", "tartu"),
+                secret="another-secret-of-this-length",
+            )
+            await scenario(running)
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/system/test_sessions.py
@@ -0,0 +1,144 @@
+"""Compare whole sessions, byte for byte, with golden files."""
+
+import asyncio
+import json
+import pathlib
+
+from syrupy import assertion
+import yaml
+
+from standins import demo
+from standins import fleet
+from tests.system import recorder
+
+PLACES = [fleet.HostPlace("eh1", "tallinn-a", "tallinn")]
+ANSWER = (
+    b"HTTP/1.1 201 Created\r\nContent-Type: text/plain\r\n"
+    b"Connection: close\r\nX-Kept: yes\r\nContent-Length: 8\r\n\r\naccepted"
+)
+CUT_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nonly this"
+UNFRAMED_ANSWER = b"HTTP/1.1 200 OK\r\n\r\nno end can be told"
+NOT_RUN = (
+    b"HTTP/1.1 503 Busy\r\nSamphirelug-Work: not-run\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
+
+
+def request_bytes(
+    target: str, *fields: str, method: str = "GET", body: str = ""
+) -> bytes:
+    """Return a request as a caller sends it."""
+    lines = [f"{method} {target} HTTP/1.1", "Host: entry", *fields]
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n" + body).encode()
+
+
+class Session:
+    """Hold a running entry host, its backend server and the record."""
+
+    def __init__(self, *, running: fleet.Fleet) -> None:
+        self.running = running
+        self.record: list[str] = []
+        self.server = recorder.RecordingServer(session=self.record)
+
+    async def start(self) -> None:
+        """Start the parts with a catalogue of one backend server."""
+        port = fleet.free_ports(1)[0]
+        self.running.server_ports["tallinn-a-1"] = port
+        await self.server.start(port)
+        await self.running.start_host("eh1", wait=False)
+        path = pathlib.Path(self.running.directory.name, "one.yaml")
+        path.write_text(
+            yaml.safe_dump_all(demo.demo_catalogue({"tallinn-a-1": port}))
+        )
+        code, _, err = await self.running.command(
+            "catalogue",
+            "apply",
+            str(path),
+            "--store-url",
+            self.running.store_url,
+        )
+        assert code == 0, err
+        await self.running.wait_host_ready("eh1")
+
+    async def send(self, rank: int, request: bytes, *answers: bytes) -> bytes:
+        """Send a request; the server gives the answers in their order."""
+        self.server.answers.extend(answers)
+        port = self.running.ports["eh1"].callers[rank]
+        return await recorder.exchange(self.record, port, request)
+
+
+async def send_all(session: Session) -> None:
+    """Carry out the session that the golden file holds."""
+    found = await session.send(0, request_bytes("/v1/lookup/file-claim"))
+    token = f"Samphirelug-Run-Token: {json.loads(found)['run_token']}"
+    claim = request_bytes(
+        "/v1/run/file-claim/claims/7?draft=0",
+        token,
+        "X-Request-Id: claim-7",
+        "Connection: keep-alive, X-Hop",
+        "X-Hop: stays here",
+        "X-Kept: a",
+        method="POST",
+        body="deposit",
+    )
+    # The server refuses once, runs once, and is not asked again.
+    await session.send(0, claim, NOT_RUN, ANSWER)
+    await session.send(0, claim)
+    await session.send(0, request_bytes("/v1/outcome", token))
+    await session.send(
+        0, request_bytes("/v1/run/file-claim/x", method="POST", body="x")
+    )
+    found = await session.send(0, request_bytes("/v1/lookup/file-claim"))
+    token = f"Samphirelug-Run-Token: {json.loads(found)['run_token']}"
+    cut = request_bytes(
+        "/v1/run/file-claim/x",
+        token,
+        "X-Request-Id: cut",
+        method="POST",
+        body="x",
+    )
+    await session.send(0, cut, CUT_ANSWER)
+    await session.send(0, cut)
+    status = request_bytes("/v1/run/case-status/x", "X-Request-Id: status")
+    await session.send(1, status, UNFRAMED_ANSWER, ANSWER)
+    await session.send(0, status)
+    await session.send(
+        1,
+        request_bytes(
+            "/v1/run/case-status/x", "Samphirelug-Deadline-Ms: soon"
+        ),
+    )
+    await session.send(
+        1, request_bytes("/v1/lookup/none", "X-Request-Id: none")
+    )
+    await session.send(1, request_bytes("/elsewhere", "X-Request-Id: path"))
+    await session.send(
+        1,
+        request_bytes(
+            "/v1/run/case-status/x",
+            "X-Request-Id: large",
+            method="POST",
+            body="x" * 65537,
+        )[:200],
+    )
+
+
+def test_whole_session(snapshot: assertion.SnapshotAssertion) -> None:
+    """Guards against changes of the messages that callers and servers see."""
+
+    async def run() -> str:
+        async with fleet.Fleet(places=PLACES) as running:
+            session = Session(running=running)
+            await session.start()
+            await send_all(session)
+            return "\n".join(session.record)
+
+    assert asyncio.run(run()) == snapshot
+
+
+def test_masks_hide_only_what_differs() -> None:
+    """Guards against a golden file that hides a changed message."""
+    kept = "X-Request-Id: claim-7\nContent-Length: 8\nRetry-After: 1"
+    assert recorder.mask(kept) == kept
