Run a fleet's processes from the checkout that started them

Cause: the processes of a fleet imported the installed package, which is another checkout's when several work trees share one environment; a trial with a guard removed there ran unchanged code. Ruled out: a problem of the tests themselves. Change: the checkout's src directory comes first, except for a binary. Conclusion: trials in work trees now run what they change.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -71,6 +71,7 @@
     ) -> None:
         self.places = {place.name: place for place in places}
         # The command that starts samphirelug.
+        self.is_binary = program is not None
         self.program = program or [sys.executable, "-m", "samphirelug"]
         self.host_flags = host_flags or []
         self.timer = timer.LoopTimerService()
@@ -310,5 +311,8 @@
         return HostPorts((ports[0], ports[1], ports[2]), ports[3], ports[4])
 
     def _environment(self) -> dict[str, str]:
-        root = str(pathlib.Path(__file__).parent.parent)
-        return {**os.environ, "PYTHONPATH": root, "PYTHONUNBUFFERED": "1"}
+        root = pathlib.Path(__file__).parent.parent
+        # A built binary has to run its own code and not the checkout's.
+        paths = [root] if self.is_binary else [root, root / "src"]
+        path = os.pathsep.join(str(each) for each in paths)
+        return {**os.environ, "PYTHONPATH": path, "PYTHONUNBUFFERED": "1"}
