Pin down the planned stop with requests that outlast it

Ruled out: a longer run under load; the moment has to be met on purpose. Change: a test starts requests with tokens from before the stop that run for 7 s; a host that is leaving goes on lending its units.

--- a/src/samphirelug/components/quota/loans.py
+++ b/src/samphirelug/components/quota/loans.py
@@ -187,7 +187,8 @@
             if (
                 free > 0
                 and peer.connected
-                and beat.state is core.EntryHostState.SERVING
+                # A host that is leaving has units that it no longer needs.
+                and beat.state is not core.EntryHostState.STARTING
                 and (name, slot) not in self._backoff
             ):
                 lenders.append((-free, name))
--- a/tests/system/harness.py
+++ b/tests/system/harness.py
@@ -22,6 +22,7 @@
 SHIFT_REQUESTS = 20
 SHIFT_INTERVAL_S = 5.0
 REPEATS = 40
+DEADLINE_S = 8.0
 REPEAT_PAUSE_S = 0.5
 
 
@@ -43,7 +44,7 @@
         self, *, running: fleet.Fleet, seed: int, think_s: float = 0.0
     ) -> None:
         self.rng = random.Random(seed)
-        # Time that a caller keeps a look-up answer before it uses it.
+        # Time that a caller keeps a run token before it uses it.
         self.think_s = think_s
         self.calls: list[checks.Call] = []
         self.tasks: list[asyncio.Task[None]] = []
@@ -86,9 +87,14 @@
         if found.status != 200:
             self.calls.append(checks.Call(work_id, body, found, client.place))
             return
-        await TIMER.sleep(self.think_s)
+        if found.body.get("run_token"):
+            await TIMER.sleep(self.think_s)
         result = await client.call(
-            work, body=body, work_id=work_id, lookup=found.body
+            work,
+            body=body,
+            work_id=work_id,
+            lookup=found.body,
+            deadline_s=DEADLINE_S,
         )
         if found.body.get("run_token"):
             result = await self._settle(client, found.body, result, work_id)
--- a/tests/system/test_processes.py
+++ b/tests/system/test_processes.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import signal
 
+from standins import caller
 from standins import demo
 from standins import fleet
 from tests.system import checks
@@ -42,7 +43,7 @@
             status = await running.get_json(
                 f"{running.operator_url('eh-tartu')}/v1/status"
             )
-            rooms = status["headroom"]
+            rooms: list[dict[str, object]] = status["headroom"]
             return rooms == [
                 {
                     "region": "tartu",
@@ -111,9 +112,9 @@
     async def scenario(running: fleet.Fleet) -> None:
         load = harness.Load(running=running, seed=3, think_s=1.0)
         sending = asyncio.create_task(
-            load.run(works=WORKS, rate_per_s=8, seconds=6)
+            load.run(works=[*WORKS, "file-claim"], rate_per_s=6, seconds=7)
         )
-        await harness.TIMER.sleep(2)
+        await harness.TIMER.sleep(3)
         running.signal("eh-tallinn", signal.SIGTERM)
         assert await running.wait_exit("eh-tallinn") == 0
         await sending
@@ -122,7 +123,45 @@
         outcomes = harness.count_outcomes(load)
         assert outcomes == {"OK": len(load.calls)}
 
-    run_fleet(scenario, flags=["--lookup-keep-s", "2"], service_s=1.5)
+    run_fleet(scenario, flags=["--lookup-keep-s", "2"], service_s=2.5)
+
+
+def test_tokens_issued_before_a_planned_stop_are_served() -> None:
+    """Guards against a stop that ends before kept tokens have been used.
+
+    The requests start after the stop has begun and are still running when
+    the entry host begins to refuse.
+    """
+
+    async def scenario(running: fleet.Fleet) -> None:
+        # Longer than all other steps of the stop may take.
+        for name in harness.SERVER_NAMES:
+            await running.set_faults(name, slow_s=7.0)
+        client = caller.Caller(
+            lookup_urls=[running.caller_url("eh-tallinn")],
+            place="tallinn-a",
+            timer_service=harness.TIMER,
+        )
+        found = [await client.look_up("file-claim") for _ in range(4)]
+        running.signal("eh-tallinn", signal.SIGTERM)
+        await harness.TIMER.sleep(0.5)
+        results = await asyncio.gather(
+            *(
+                client.call(
+                    "file-claim",
+                    lookup=each.body,
+                    work_id=str(n),
+                    deadline_s=9.5,
+                )
+                for n, each in enumerate(found)
+            )
+        )
+        assert [r.name for r in results] == ["OK"] * len(found)
+        assert {r.entry_host for r in results} == {"eh-tallinn"}
+        assert await running.wait_exit("eh-tallinn") == 0
+        client.close()
+
+    run_fleet(scenario, flags=["--lookup-keep-s", "1"])
 
 
 def test_connections_cut_by_servers() -> None:
