Measure capacity slopes and work out the two-year size

Ruled out: running thousands of processes; the pure core is driven alone, and seats run in the simulation of their own tests.

Change: python -m benchmarks.capacity, in parts.

--- /dev/null
+++ b/benchmarks/capacity_store.py
@@ -0,0 +1,100 @@
+"""Work out calls to the object store from the intervals in the code."""
+
+import asyncio
+import math
+
+from samphirelug.components.catalogue import sync
+from samphirelug.components.peers import const as peers_const
+from samphirelug.components.peers import topology
+from samphirelug.components.quota import model as quota_model
+from samphirelug.helpers import rendezvous
+from tests.components.peers import fleet
+from tests.components.quota import simulation
+
+SETTINGS = quota_model.SeatSettings()
+# The look interval is drawn between 0.8 and 1.0 of renew_s.
+RENEWALS_PER_S = 1 / (SETTINGS.renew_s * 0.9)
+READS_PER_S = 2000
+WRITES_PER_S = 500
+
+
+def catalogue_watchers(size: int) -> int:
+    """Count the hosts that follow the store by the rule of CatalogueSync.
+
+    A host that is not a watcher of the mesh hears its zone's two watchers
+    only, so it ranks itself among three names.
+    """
+    count = 0
+    for start in range(0, size, fleet.HOSTS_PER_ZONE):
+        zone = f"z{start:04}"
+        names = [f"eh-{n:04}" for n in range(start, start + 31) if n < size]
+        watchers = topology.watchers_of(zone, names)
+        for name in names:
+            heard = names if name in watchers else {name, *watchers}
+            ranked = rendezvous.rank_names(key=zone, names=heard)
+            count += name in ranked[: sync.WATCHERS_PER_ZONE]
+    return count
+
+
+def calls_of_seats(hosts: int) -> tuple[int, int, int, int]:
+    """Return calls and writes of a start at once, and of the next 1,200 s."""
+
+    async def run() -> tuple[int, int, int, int]:
+        world = simulation.World(seed=1, settings=SETTINGS)
+        for number in range(hosts):
+            world.start(f"eh{number}", "tallinn-a")
+        await world.run(60.0)
+        start = world.calls, world.writes
+        await world.run(1200.0)
+        for host in world.hosts.values():
+            host.kill()
+        return *start, world.calls - start[0], world.writes - start[1]
+
+    return asyncio.run(run())
+
+
+def report(*, groups: int, changes_per_s: float) -> None:
+    """Print calls a second by kind and size of fleet."""
+    for hosts in (3, 6, 12):
+        calls, writes, calls_h, writes_h = calls_of_seats(hosts)
+        print(
+            f"seats of {hosts} hosts in 2 groups: start at once {calls} calls"
+            f" ({writes} writes), then {calls_h / hosts / 2:.1f} calls "
+            f"({writes_h / hosts / 2:.1f} writes) in 1,200 s for each seat"
+        )
+    for size in (700, 2000, 6700):
+        watchers = catalogue_watchers(size)
+        zones = math.ceil(size / fleet.HOSTS_PER_ZONE)
+        mesh_watchers = 2 * zones
+        # A watch ends at a change or at its time limit.
+        interval_s = (
+            1 - math.exp(-changes_per_s * sync.WATCH_TIMEOUT_S)
+        ) / changes_per_s
+        rows = {
+            "catalogue watches": watchers / interval_s,
+            "catalogue rechecks": watchers / sync.RECHECK_INTERVAL_S,
+            "catalogue listings": watchers / sync.LISTING_INTERVAL_S,
+            "host list watches": mesh_watchers / peers_const.HOST_LIST_WATCH_S,
+            "host list polls": (size - mesh_watchers)
+            / peers_const.HOST_LIST_POLL_S,
+            "seat reads": size * groups * RENEWALS_PER_S,
+        }
+        print(f"{size} nodes, {watchers} watch the catalogue:")
+        for title, per_s in rows.items():
+            print(f"  {title} {per_s:.0f}/s")
+        print(
+            f"  reads {sum(rows.values()):.0f}/s of {READS_PER_S}, seat "
+            f"writes {size * groups * RENEWALS_PER_S:.0f}/s of {WRITES_PER_S}"
+            f" ({groups} groups a host), only the region's group "
+            f"{size * RENEWALS_PER_S:.0f}/s"
+        )
+        spread_s = SETTINGS.spread_per_host_s * size / 55
+        peak = size / spread_s + size * (groups - 1) / (2 * spread_s)
+        print(
+            f"  all hosts back at once: {size * groups} seats to write, asked"
+            f" for at {peak:.0f}/s, take {size * groups / WRITES_PER_S:.0f} s"
+            f" at {WRITES_PER_S}/s; listings {size / sync.START_JITTER_S:.0f}"
+            f"/s; fallback reads without peers "
+            f"{size / (sync.SOURCE_TIMEOUT_S + sync.SOURCE_JITTER_S / 2):.0f}"
+            "/s"
+        )
