Choose the same watchers in the mesh and in the catalogue

Cause: above 16 hosts a host that is not a watcher of the mesh hears its zone's two watchers only. CatalogueSync ranked itself among these three by another rendezvous key than the mesh, so two hosts in three took themselves for catalogue watchers.

Change: topology.watchers_of ranks by the zone's name alone. A test asks CatalogueSync of each of 31 hosts that hear only the two watchers.

Also: the part to measure is an argument of benchmarks.capacity.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -13,6 +13,7 @@
 import statistics
 import time
 import tracemalloc
+from typing import Annotated
 from typing import NamedTuple
 
 import numpy
@@ -484,7 +485,7 @@
 }
 
 
-def main(part: str = "all") -> None:
+def main(part: Annotated[str, typer.Argument()] = "all") -> None:
     """Run one part of the measurements, or all."""
     for name, measure in PARTS.items():
         if part in ("all", name):
--- a/src/samphirelug/components/peers/topology.py
+++ b/src/samphirelug/components/peers/topology.py
@@ -19,7 +19,9 @@
 
 def watchers_of(zone: str, names: Iterable[str]) -> tuple[str, ...]:
     """Return the watchers of a zone, given its live hosts."""
-    ranked = rendezvous.rank_names(key=f"watchers/{zone}", names=names)
+    # The key by which CatalogueSync ranks too. By another one, most hosts
+    # that hear only these watchers would take themselves for a watcher.
+    ranked = rendezvous.rank_names(key=zone, names=names)
     return tuple(ranked[: const.WATCHERS_PER_ZONE])
 
 
--- a/tests/components/peers/test_topology.py
+++ b/tests/components/peers/test_topology.py
@@ -1,9 +1,17 @@
 """Test which peers a host connects to."""
 
+import random
+
+from samphirelug.components.catalogue import state
+from samphirelug.components.catalogue import sync
 from samphirelug.components.peers import const
 from samphirelug.components.peers import topology
 from samphirelug import core
+from samphirelug.helpers import timer as timer_helper
+from standins import store
 from tests import builders
+from tests.components.peers import test_io_mesh
+from tests.components.steering import fakes
 
 
 def make_nodes(*, zones: int, per_zone: int) -> list[topology.Node]:
@@ -70,3 +78,26 @@
         "eh1" in topology.watchers_of(zone, names)
     )
     assert topology.is_watcher(host, [])
+
+
+def test_hosts_that_hear_only_the_watchers_leave_the_store_alone() -> None:
+    """Guards against a fleet in which most hosts watch the catalogue."""
+    hosts = [builders.make_host(f"eh{number}") for number in range(31)]
+    chosen = topology.watchers_of("tallinn-a", [host.name for host in hosts])
+    timer = timer_helper.ManualTimerService()
+    mesh = fakes.FakeMesh(timer=timer)
+    mesh.beats = [
+        test_io_mesh.make_heartbeat(host)
+        for host in hosts
+        if host.name in chosen
+    ]
+    for host in hosts:
+        follower = sync.CatalogueSync(
+            state=state.CatalogueState(),
+            store=store.FakeObjectStore(core=store.StoreCore(), timer=timer),
+            mesh=mesh,
+            timer=timer,
+            rng=random.Random(1),
+            host=host,
+        )
+        assert follower.is_watcher() == (host.name in chosen)
