Plan the peers only when the members have changed

Cause: above the full mesh each host listed its candidates and planned again every 2 s, on the event loop, although members change every 96 s or so.

Ruled out: a longer interval, which delays the reaction to a lost watcher.

Change: Membership counts changes of hosts and zones, and lists the hosts that are silent or leaving from those that it heard or dialled in vain. A plan is kept while both are the same. set_known_hosts no longer drops a plan that still holds.

Conclusion: tests of peers pass, with one that compares kept and fresh.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -350,7 +350,7 @@
 def measure_peers() -> None:
     """Measure the planning of peers against the number of nodes."""
     sizes = (700, 2000, 6700)
-    candidates, first, memory = [], [], []
+    candidates, first, again, listed, memory = [], [], [], [], []
     for size in sizes:
         hosts = make_nodes(size)
         gc.collect()
@@ -363,9 +363,16 @@
         candidates.append(cost_ms(partial(known.candidates, now=1.0)))
         nodes = known.candidates(now=1.0)
         first.append(cost_ms(partial(topology.make_plan, own, nodes)))
+        for host in hosts[1:51]:
+            beat = fleet.SimulatedHost(host=host).heartbeat(1.0)
+            known.heard(beat, now=1.0)
+        again.append(cost_ms(partial(known.missing, now=1.0), loops=20))
+        listed.append(cost_ms(partial(known.set_listed, hosts, now=1.0)))
     for title, values, unit in (
         ("candidates", candidates, "ms"),
         ("make_plan", first, "ms"),
+        ("look for changes before planning", again, "ms"),
+        ("set_listed", listed, "ms"),
         ("memory of the membership", memory, "MB"),
     ):
         show(title, sizes, values, unit=unit, target=NODES)
--- a/src/samphirelug/components/peers/io_mesh.py
+++ b/src/samphirelug/components/peers/io_mesh.py
@@ -151,6 +151,8 @@
         )
         self._planned: topology.Plan | None = None
         self._planned_at_s = float("-inf")
+        # Members that the plan was made from.
+        self._planned_for: tuple[int, frozenset[str]] | None = None
         self.relay = peer_relay.Relay(own=host)
         self._handlers: dict[type, mesh.Handler] = {}
         self._pending: dict[int, _PendingRequest] = {}
@@ -227,7 +229,7 @@
     def set_known_hosts(self, hosts: Iterable[core.EntryHost]) -> None:
         """Replace the hosts that the platform's list names."""
         self.membership.set_listed(hosts, now=self.timer.monotonic())
-        self._planned = None
+        self._planned_at_s = float("-inf")
         self._update_dialers()
 
     def is_watcher(self) -> bool:
@@ -454,11 +456,14 @@
     def _plan(self, now: float) -> topology.Plan:
         plan = self._planned
         if plan is None or now - self._planned_at_s >= const.PLAN_INTERVAL_S:
-            plan = topology.make_plan(
-                topology.Node(self.host.name, self.host.zone),
-                self.membership.candidates(now=now),
-            )
-            self._planned, self._planned_at_s = plan, now
+            members = self.membership.version, self.membership.missing(now=now)
+            if plan is None or members != self._planned_for:
+                plan = topology.make_plan(
+                    topology.Node(self.host.name, self.host.zone),
+                    self.membership.candidates(now=now),
+                )
+                self._planned, self._planned_for = plan, members
+            self._planned_at_s = now
         return plan
 
     def _update_dialers(self) -> None:
--- a/src/samphirelug/components/peers/membership.py
+++ b/src/samphirelug/components/peers/membership.py
@@ -51,6 +51,11 @@
         self.members: dict[str, Member] = {}
         # Names heard lately; of thousands of hosts few are connected.
         self._heard: set[str] = set()
+        # Names heard or dialled in vain. All others are listed, so that a
+        # look at these few tells which hosts are missing.
+        self._touched: set[str] = set()
+        # Grows when a host is added, dropped or moves to another zone.
+        self.version = 0
 
     def set_listed(
         self, hosts: Iterable[core.EntryHost], *, now: float
@@ -79,10 +84,13 @@
             self.members[host.name] = Member(
                 host=host._replace(incarnation=""), now=now
             )
+            self.version += 1
         elif host.peer_url and member.state(now) in (
             model.MemberState.LISTED,
             model.MemberState.SILENT,
         ):
+            if member.host.zone != host.zone:
+                self.version += 1
             member.host = member.host._replace(
                 zone=host.zone, peer_url=host.peer_url
             )
@@ -100,6 +108,8 @@
             member.retired.append(last)
             member.heartbeat = None
             member.heard_at_s = None
+        if member.host.zone != host.zone:
+            self.version += 1
         member.host = host
         member.named_at_s = now
         member.unreachable_until_s = 0.0
@@ -117,10 +127,13 @@
         last = member.heartbeat
         if last is not None and heartbeat.clock_ms < last.clock_ms:
             return False
+        if member.host.zone != heartbeat.host.zone:
+            self.version += 1
         member.host = heartbeat.host
         member.heartbeat = heartbeat
         member.heard_at_s = now
         self._heard.add(heartbeat.host.name)
+        self._touched.add(heartbeat.host.name)
         member.named_at_s = now
         member.unreachable_until_s = 0.0
         return True
@@ -130,6 +143,7 @@
         member = self.members.get(name)
         if member is not None:
             member.unreachable_until_s = now + const.SILENT_RETRY_S
+            self._touched.add(name)
 
     def forget(self, *, now: float) -> tuple[str, ...]:
         """Drop hosts that are neither listed nor named for long."""
@@ -141,6 +155,7 @@
         )
         for name in gone:
             del self.members[name]
+            self.version += 1
         return gone
 
     def state_of(self, name: str, *, now: float) -> model.MemberState | None:
@@ -163,16 +178,24 @@
 
     def candidates(self, *, now: float) -> tuple[topology.Node, ...]:
         """Return the hosts that may be alive, for the topology."""
-        # Most of thousands of members were never heard or dialled, and are
-        # listed; working out their states would take most of the time.
+        missing = self.missing(now=now)
         return tuple(
             topology.Node(name, member.host.zone)
             for name, member in self.members.items()
-            if (
-                member.heard_at_s is None and now >= member.unreachable_until_s
-            )
-            or member.state(now)
-            in (model.MemberState.LIVE, model.MemberState.LISTED)
+            if name not in missing
+        )
+
+    def missing(self, *, now: float) -> frozenset[str]:
+        """Return the hosts that are silent or leaving.
+
+        The candidates change only with these and with the version.
+        """
+        self._touched &= self.members.keys()
+        return frozenset(
+            name
+            for name in self._touched
+            if self.members[name].state(now)
+            in (model.MemberState.SILENT, model.MemberState.LEAVING)
         )
 
     def zone_members(self, *, now: float) -> frozenset[str]:
--- a/tests/components/peers/test_membership.py
+++ b/tests/components/peers/test_membership.py
@@ -6,6 +6,7 @@
 from samphirelug.components.peers import const
 from samphirelug.components.peers import membership
 from samphirelug.components.peers import model
+from samphirelug.components.peers import topology
 from samphirelug import core
 from tests import builders
 from tests.components.peers import test_io_mesh
@@ -128,3 +129,48 @@
             current = held
         beat = known.members["eh2"].heartbeat
         assert beat is None or beat.host.incarnation == held
+
+
+@given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(
+                ("heard", "add", "joined", "unreachable", "forget")
+            ),
+            strategies.sampled_from(("eh2", "eh3")),
+            strategies.sampled_from(("tallinn-a", "tartu-a")),
+            strategies.sampled_from((0.3, 3.0, 40.0, 700.0)),
+        ),
+        max_size=30,
+    )
+)
+def test_candidates_change_only_with_version_and_missing(
+    events: list[tuple[str, str, str, float]],
+) -> None:
+    """Guards against a kept plan of peers that misses a change."""
+    known = membership.Membership(own=OWN)
+    now = 0.0
+    seen: dict[tuple[int, frozenset[str]], list[topology.Node]] = {}
+    for kind, name, zone, pause_s in events:
+        now += pause_s
+        host = builders.make_host(name, zone=zone)
+        beat = BEAT._replace(host=host, clock_ms=int(now * 1000))
+        if kind == "heard":
+            known.heard(beat, now=now)
+        elif kind == "add":
+            known.add(host, now=now)
+        elif kind == "joined":
+            known.joined(host, now=now)
+        elif kind == "unreachable":
+            known.unreachable(name, now=now)
+        else:
+            known.forget(now=now)
+        found = sorted(known.candidates(now=now))
+        key = known.version, known.missing(now=now)
+        assert seen.setdefault(key, found) == found
+        assert [node.name for node in found] == [
+            name
+            for name in sorted(known.members)
+            if known.state_of(name, now=now)
+            in (model.MemberState.LIVE, model.MemberState.LISTED)
+        ]
