Pass zones' positions between their first watchers only

Cause: a zone's lowest position flooded all links between watchers, which made 14 of the 22 KB/s that a watcher sends and receives when idle.

Ruled out: one position for each region, merged by the sum of its zones' epochs: a zone that expires lowers the sum, and the region's position would then stand still; a bitmap of zones agreed by a digest, which loses positions while two hosts' sets differ.

Change: first watchers carry positions to each other and tell all other peers the fleet's lowest. First watchers dial first ones in other zones. Sightings and summaries go over all links as before. A host that is wrongly taken for a carrier, or takes itself for one, only gets or sends positions that merge as before.

--- a/src/samphirelug/components/peers/io_mesh.py
+++ b/src/samphirelug/components/peers/io_mesh.py
@@ -363,14 +363,18 @@
         own_zone = self.host.zone.name
         own_watchers = plan.watchers_in(own_zone) or (self.host.name,)
         watcher = self.host.name in own_watchers
-        watchers, others = [], []
+        carriers, others = [], []
         for name, connection in self.connections.items():
             zone = connection.host.zone.name
-            if name in plan.watchers_in(zone):
-                watchers.append(name)
-            elif zone == own_zone and watcher:
+            watchers = plan.watchers_in(zone)
+            if name in watchers[:1]:
+                carriers.append(name)
+            elif name in watchers or (zone == own_zone and watcher):
                 others.append(name)
-        self.relay.set_peers(watcher=watcher, watchers=watchers, others=others)
+        first = own_watchers[0] == self.host.name
+        self.relay.set_peers(
+            watcher=watcher, carrier=first, carriers=carriers, others=others
+        )
         for outgoing in self.relay.tick(
             own=self.heartbeat(),
             zone=(
@@ -379,7 +383,7 @@
                 if member.host.zone.name == own_zone
                 and (beat := member.heartbeat) is not None
             ),
-            first_watcher=own_watchers[0] == self.host.name,
+            first_watcher=first,
             now=now,
         ):
             self.send(outgoing.peer, outgoing.message)
--- a/src/samphirelug/components/peers/relay.py
+++ b/src/samphirelug/components/peers/relay.py
@@ -4,6 +4,8 @@
 once: its origin and sequence stop loops. A zone's lowest position is a pair
 (epoch, revision) that is merged by its maximum, so duplicates and reordering
 change nothing; a position that falls needs a summary with a higher epoch.
+Positions pass between the zones' first watchers (the carriers) only, since
+they are most of the bytes; all other hosts are told the fleet's lowest.
 """
 
 from collections.abc import Iterable
@@ -66,8 +68,8 @@
 class _Outbox:
     """Hold what waits for one peer."""
 
-    def __init__(self, *, watcher: bool) -> None:
-        self.watcher = watcher
+    def __init__(self, *, carrier: bool) -> None:
+        self.carrier = carrier
         self.sightings: dict[tuple[str, int], model.RelayedSighting] = {}
         self.positions: dict[int, Position] = {}
         self.summaries: dict[str, model.ZoneSummary] = {}
@@ -82,6 +84,7 @@
         self.own = own
         self.origin = f"{own.name}/{own.incarnation}"
         self.watcher = False
+        self.carrier = False
         self.outboxes: dict[str, _Outbox] = {}
         self.zones: dict[str, KnownZone] = {}
         self.positions: dict[int, Position] = {}
@@ -99,26 +102,34 @@
         self._next_peer = 0
 
     def set_peers(
-        self, *, watcher: bool, watchers: Iterable[str], others: Iterable[str]
+        self,
+        *,
+        watcher: bool,
+        carrier: bool,
+        carriers: Iterable[str],
+        others: Iterable[str],
     ) -> None:
         """Set the role and the connected peers that take relayed messages.
 
-        Others are the zone's hosts that are not watchers. A new peer gets
-        all summaries that are known.
+        Carriers are first watchers; others are further watchers, and the
+        zone's hosts that are not watchers. A new peer gets all summaries
+        that are known.
         """
         self.watcher = watcher
-        wanted = dict.fromkeys(others, False) | dict.fromkeys(watchers, True)
+        self.carrier = carrier
+        wanted = dict.fromkeys(others, False) | dict.fromkeys(carriers, True)
         for name in self.outboxes.keys() - wanted.keys():
             del self.outboxes[name]
-        for name, is_watcher in wanted.items():
+        for name, is_carrier in wanted.items():
             box = self.outboxes.get(name)
-            if box is None or box.watcher is not is_watcher:
-                box = self.outboxes[name] = _Outbox(watcher=is_watcher)
+            if box is None or box.carrier is not is_carrier:
+                box = self.outboxes[name] = _Outbox(carrier=is_carrier)
                 if watcher:
                     box.summaries.update(
                         (zone, known.summary)
                         for zone, known in self.zones.items()
                     )
+                if carrier and is_carrier:
                     box.positions.update(self.positions)
 
     def originate(self, sighting: model.Sighting, *, now: float) -> None:
@@ -156,7 +167,8 @@
     ) -> tuple[model.Sighting, ...]:
         """Take in a peer's message; return the sightings new to this host."""
         self.highest = max(self.highest, message.highest_revision)
-        self.lowest_heard = message.lowest_revision
+        # Only carriers know it, and others send 0.
+        self.lowest_heard = message.lowest_revision or self.lowest_heard
         box = self.outboxes.get(sender)
         new = []
         for relayed in message.sightings:
@@ -204,7 +216,7 @@
         # Peers take turns in being first, so that a bound delays all alike.
         self._next_peer = (self._next_peer + 1) % len(names)
         turn = names[self._next_peer :] + names[: self._next_peer]
-        lowest = self.lowest() if self.watcher else 0
+        lowest = self.lowest() if self.carrier else 0
         sent = (
             self._fill(name, self.outboxes[name], lowest, now) for name in turn
         )
@@ -212,7 +224,7 @@
 
     def lowest(self) -> int:
         """Return the lowest position known in the fleet; 0 if unknown."""
-        if not self.watcher:
+        if not self.carrier:
             return self.lowest_heard
         return min(
             (
@@ -232,7 +244,7 @@
     def statuses(self, *, now: float) -> tuple[ZoneStatus, ...]:
         """Return what is known of each zone.
 
-        Only watchers are told of each zone's rising position; at other hosts
+        Only carriers are told of each zone's rising position; at other hosts
         it is the one of the last summary, and lowest() has the fleet's.
         """
         return tuple(
@@ -324,8 +336,10 @@
         if old is None and len(self.positions) >= const.RELAY_MAX_ZONES:
             return
         self.positions[zone] = position
+        if not self.carrier:
+            return
         for peer, other in self.outboxes.items():
-            if other.watcher and peer != sender:
+            if other.carrier and peer != sender:
                 other.positions[zone] = position
 
     def _report_zone(
@@ -423,9 +437,9 @@
         self, name: str, box: _Outbox, lowest: int, now: float
     ) -> Outgoing | None:
         bounds = (lowest, self.highest)
-        # A host that is not a watcher has nothing to say about the fleet.
-        news = self.watcher and bounds != (box.lowest, box.highest)
-        if box.watcher and not (box.sightings or box.positions):
+        # A host that is not a carrier has nothing to say about the fleet.
+        news = self.carrier and bounds != (box.lowest, box.highest)
+        if box.carrier and not (box.sightings or box.positions):
             news = False
         if not (news or box.sightings or box.positions or box.summaries):
             return None
--- a/src/samphirelug/components/peers/topology.py
+++ b/src/samphirelug/components/peers/topology.py
@@ -93,10 +93,9 @@
 
 def _far_peers(own: Node, far: list[str], plan: Plan) -> set[str]:
     # Both watchers of a zone choose by their own names, so that the zone
-    # reaches twelve others, and each dials one watcher of a zone it chose.
+    # reaches twice as many others. First watchers dial first ones, since
+    # these pass positions to each other.
     key = f"far/{own.name}"
     ranked = rendezvous.rank_names(key=key, names=far)[: const.FAR_ZONES]
-    return {
-        rendezvous.rank_names(key=key, names=plan.watchers_in(zone))[0]
-        for zone in ranked
-    }
+    place = plan.watchers_in(own.zone.name).index(own.name)
+    return {plan.watchers_in(zone)[: place + 1][-1] for zone in ranked}
--- a/tests/components/peers/fleet.py
+++ b/tests/components/peers/fleet.py
@@ -108,8 +108,9 @@
             peers = [self.hosts[name] for name in simulated.peers]
             simulated.relay.set_peers(
                 watcher=simulated.watcher,
-                watchers=[p.host.name for p in peers if p.watcher],
-                others=[p.host.name for p in peers if not p.watcher],
+                carrier=simulated.first_watcher,
+                carriers=[p.host.name for p in peers if p.first_watcher],
+                others=[p.host.name for p in peers if not p.first_watcher],
             )
 
     def deliver(self, name: str, sightings: Iterable[model.Sighting]) -> None:
--- a/tests/components/peers/test_relay.py
+++ b/tests/components/peers/test_relay.py
@@ -5,6 +5,7 @@
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies
+import pytest
 
 from samphirelug.components.peers import codec
 from samphirelug.components.peers import const
@@ -32,7 +33,8 @@
     made = relay.Relay(own=builders.make_host(name))
     made.set_peers(
         watcher=True,
-        watchers=[f"w{n}" for n in range(watchers)],
+        carrier=True,
+        carriers=[f"w{n}" for n in range(watchers)],
         others=["o1"],
     )
     return made
@@ -104,6 +106,23 @@
     assert {s.relay.lowest() for s in small.hosts.values()} == {5}
 
 
+@pytest.mark.parametrize("old_stays", [True, False])
+def test_a_second_watcher_takes_over_the_positions(old_stays: bool) -> None:
+    """Guards against positions that stop with their zone's first watcher."""
+    small = fleet.Fleet(size=40, hosts_per_zone=8)
+    settle(small, 6.0)
+    zone = next(iter(small.zones.values()))
+    old = next(host for host in zone if host.first_watcher)
+    new = next(host for host in zone if host.watcher and host is not old)
+    old.first_watcher, new.first_watcher = old_stays, True
+    small.reconnect()
+    for position in (5, 6):
+        for simulated in small.hosts.values():
+            simulated.position = position
+        settle(small, 3.0)
+        assert {s.relay.lowest() for s in small.hosts.values()} == {position}
+
+
 def make_summary(epoch: int, revision: int) -> model.ZoneSummary:
     """Return a summary of another zone."""
     zone = core.AvailabilityZone("tartu-a", "tartu")
@@ -234,6 +253,8 @@
     (far,) = made.far_hosts(now=100.0)
     assert far.clock_ms == 1000 + 99_000
     assert far.catalogue_revision == 8
-    made.set_peers(watcher=True, watchers=["w0", "w9"], others=())
+    made.set_peers(
+        watcher=True, carrier=True, carriers=["w0", "w9"], others=()
+    )
     (passed,) = tick(made, 100.0)["w9"].summaries
     assert passed.entry_hosts[0].clock_ms == 1000 + 99_000
