Send amounts rarely above the full mesh and leave out empty fields

Cause: a busy host's heartbeats carry new headroom, queues and waits every 0.5 s to about 42 peers, and a Relayed message names its five fields even where four are empty.

Change: above 16 hosts the amounts are sent every 2 s; state, position and sightings as before. The codec leaves out the empty fields of Relayed and puts them back. Carriers are not sent the fleet's lowest position, which they work out themselves.

The look-up and loans see amounts that are up to 2 s older.

--- a/src/samphirelug/components/peers/codec.py
+++ b/src/samphirelug/components/peers/codec.py
@@ -33,12 +33,23 @@
 _FIELDS = {
     name: frozenset(kind._fields) for name, kind in MESSAGE_TYPES.items()
 }
+# Left out where empty: a watcher sends most of its messages for one of them.
+_OPTIONAL: dict[str, dict[str, Any]] = {
+    "Relayed": {
+        "sightings": (),
+        "positions": (),
+        "summaries": (),
+        "lowest_revision": 0,
+        "highest_revision": 0,
+    }
+}
 _ID = pydantic.TypeAdapter(model.Sequence | None)
 # Fields of a heartbeat that a sparse heartbeat may leave out.
 _SPARSE_FIELDS = tuple(
     field for field in model.Heartbeat._fields if field != "clock_ms"
 )
-_SPARSE_TYPE = "SparseHeartbeat"
+# Short, since it is most of the bytes of a heartbeat without changes.
+_SPARSE_TYPE = "Beat"
 # Takes the place of "headroom" where only amounts changed, in a fifth of the
 # bytes.
 _AMOUNTS = "amounts"
@@ -73,7 +84,12 @@
         frame["id"] = message_id
     if reply_to is not None:
         frame["reply_to"] = reply_to
-    frame.update(zip(message._fields, message, strict=True))
+    empty = _OPTIONAL.get(frame["type"], {})
+    frame.update(
+        (field, value)
+        for field, value in zip(message._fields, message, strict=True)
+        if field not in empty or value != empty[field]
+    )
     return _dump(frame)
 
 
@@ -245,7 +261,7 @@
     if adapter is None:
         return Success(UnknownType(name[:64]))
     fields = _FIELDS[name]
-    known = {
+    known = _OPTIONAL.get(name, {}) | {
         field: value for field, value in loaded.items() if field in fields
     }
     try:
--- a/src/samphirelug/components/peers/const.py
+++ b/src/samphirelug/components/peers/const.py
@@ -42,6 +42,10 @@
 # A silent host counts as a candidate again after this time, so that a host
 # that came back unseen is dialled again.
 SILENT_RETRY_S = 30.0
+# Above the full mesh, headroom, queues and waits are sent this often. With
+# each heartbeat they would cost a watcher, which has about 40 peers, twice
+# the bytes that control may use.
+AMOUNTS_INTERVAL_S = 2.0
 FORGET_AFTER_S = 600.0
 RETIRED_INCARNATIONS = 64
 MAX_MEMBERS = 20_000
--- a/src/samphirelug/components/peers/io_mesh.py
+++ b/src/samphirelug/components/peers/io_mesh.py
@@ -171,6 +171,9 @@
         self._relay_subscription: timer_helper.Subscription | None = None
         self._server: server.Server | None = None
         self._last_heartbeat_s = float("-inf")
+        # Heartbeat whose amounts were sent last.
+        self._amounts_of: model.Heartbeat | None = None
+        self._amounts_at_s = float("-inf")
         self._early: timer_helper.Subscription | None = None
         self._stopped = False
 
@@ -337,10 +340,21 @@
                 )
             return
         self._last_heartbeat_s = now
-        beat = self.heartbeat()
+        beat = self._thin_out(self.heartbeat(), now)
         for connection in self.connections.values():
             connection.put_heartbeat(beat)
 
+    def _thin_out(self, beat: model.Heartbeat, now: float) -> model.Heartbeat:
+        """Repeat the last amounts until new ones are due."""
+        last = self._amounts_of
+        due_s = self._amounts_at_s + const.AMOUNTS_INTERVAL_S
+        if last is None or now >= due_s or self._mesh_is_full():
+            self._amounts_of, self._amounts_at_s = beat, now
+            return beat
+        return beat._replace(
+            headroom=last.headroom, queued=last.queued, wait_s=last.wait_s
+        )
+
     def _send_early(self) -> None:
         self._early = None
         if not self._stopped:
--- a/src/samphirelug/components/peers/relay.py
+++ b/src/samphirelug/components/peers/relay.py
@@ -454,7 +454,7 @@
                 _aged(self.zones.get(part.zone.name), part, now)
                 for part in self._take(box.summaries)
             ),
-            lowest_revision=lowest,
+            lowest_revision=0 if box.carrier else lowest,
             highest_revision=self.highest,
         )
         box.lowest, box.highest = bounds
--- a/tests/components/peers/fleet.py
+++ b/tests/components/peers/fleet.py
@@ -264,6 +264,11 @@
     for kind, regions, changed in (("idle", 3, 0), ("busy", 3, 6)):
         beat = heartbeat_bytes(regions=regions, services=2, changed=changed)
         rate = 1 / shared_const.HEARTBEAT_INTERVAL_S
+        if not fleet.full:
+            # The amounts are part of some of the heartbeats only.
+            still = heartbeat_bytes(regions=regions, services=2, changed=0)
+            part = shared_const.HEARTBEAT_INTERVAL_S / const.AMOUNTS_INTERVAL_S
+            beat = round(part * beat + (1 - part) * still)
         for role in ("watcher", "other", "all"):
             chosen = [
                 simulated
--- a/tests/components/peers/test_io_mesh.py
+++ b/tests/components/peers/test_io_mesh.py
@@ -495,3 +495,29 @@
         assert "eh9" not in peer.membership.members
 
     run(test)
+
+
+def test_amounts_are_sent_rarely_above_the_full_mesh() -> None:
+    """Guards against watchers' traffic, and against states that wait."""
+    host = builders.make_host("eh1")
+    beat = make_heartbeat(host)
+    peer = io_mesh.WebsocketMesh(
+        host=host,
+        secret=SECRET,
+        cluster="test",
+        seeds=(),
+        timer=timer.ManualTimerService(),
+        heartbeat=lambda: beat,
+    )
+    busy = beat._replace(queued=(9, 9, 9), wait_s=(1.0, 1.0, 1.0))
+    leaving = busy._replace(state=core.EntryHostState.LEAVING)
+    assert peer._thin_out(beat, 0.0) == beat
+    assert peer._thin_out(busy, 0.5) == busy
+    peer.set_known_hosts(
+        builders.make_host(f"h{number}")
+        for number in range(const.FULL_MESH_MAX_HOSTS)
+    )
+    assert peer._thin_out(beat, 1.0) == busy
+    later = beat._replace(state=leaving.state, sightings=leaving.sightings)
+    assert peer._thin_out(later, 2.0) == leaving
+    assert peer._thin_out(later, 0.5 + const.AMOUNTS_INTERVAL_S) == later
