Plan seats without sorting hosts and derive limits once for each view

Cause: for each key of a group a look sorted all hosts by rendezvous weight and went through all seats again; two callers derived the limits of each new view.

Ruled out: keeping the weights of all keys and hosts, about 22,000 for each of 13 groups.

Change: fair_share counts the heavier hosts instead of sorting; ties of weights still go to rank_names. plan_seat sums the units of others in one pass. quota_limits keeps the result for the latest view. Behaviour is the same, and the existing tests cover it.

Conclusion: tests of seats and limits pass.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -24,6 +24,7 @@
 from samphirelug.components.catalogue import model as catalogue_model
 from samphirelug.components.catalogue import schema
 from samphirelug.components.catalogue import state as catalogue_state
+from samphirelug.components.catalogue import view as catalogue_view
 from samphirelug.components.execution import tokens
 from samphirelug.components.peers import codec
 from samphirelug.components.peers import membership
@@ -180,7 +181,7 @@
         load.append(cost_ms(partial(loaded_listing, listing)))
         change.append(cost_ms(partial(apply_change, held, entries[-1])))
         view = held.view
-        derive.append(cost_ms(partial(limits.quota_limits, view)))
+        derive.append(cost_ms(partial(derive_limits, view)))
         known = limits.quota_limits(view)
         book = ledger.QuotaLedger(timer=timer_helper.ManualTimerService())
         adopt.append(cost_ms(partial(book.set_limits, known)))
@@ -213,7 +214,7 @@
     spread = [
         cost_ms(
             partial(
-                limits.quota_limits,
+                derive_limits,
                 loaded_state(make_entries(size, spread=True)).view,
             )
         )
@@ -242,6 +243,12 @@
     planner.answer(work="case-status", place="tallinn-a")
 
 
+def derive_limits(view: catalogue_view.CatalogueView) -> None:
+    """Derive limits that are not kept yet."""
+    limits.quota_limits.cache_clear()
+    limits.quota_limits(view)
+
+
 def loaded_listing(listing: store_model.Listing) -> None:
     """Load a full listing into a new state."""
     catalogue_state.CatalogueState().apply_listing(listing)
--- a/src/samphirelug/components/quota/limits.py
+++ b/src/samphirelug/components/quota/limits.py
@@ -1,5 +1,7 @@
 """Derive quota keys, limits and bundles from the catalogue."""
 
+import functools
+
 from samphirelug.components.catalogue import model as catalogue_model
 from samphirelug.components.catalogue import view as catalogue_view
 from samphirelug.components.quota import const
@@ -48,10 +50,15 @@
     return tuple(group.partition("/")[2].split("+"))
 
 
+@functools.lru_cache(maxsize=1)
 def quota_limits(
     view: catalogue_view.CatalogueView,
 ) -> dict[str, model.QuotaLimit]:
-    """Return the limit of every key of the catalogue."""
+    """Return the limit of every key of the catalogue.
+
+    A view never changes, and both the host and its seat keeper ask for each
+    new one. Callers must not change the result.
+    """
     limits: dict[str, model.QuotaLimit] = {}
 
     def add(key: str, group: str, limit: int, linger_s: float = 0.0) -> None:
--- a/src/samphirelug/components/quota/seats.py
+++ b/src/samphirelug/components/quota/seats.py
@@ -17,6 +17,7 @@
 from returns.result import Result
 from returns.result import Success
 from typing_extensions import TypedDict
+import xxhash
 
 from samphirelug.components.quota import const
 from samphirelug.components.quota import model
@@ -138,15 +139,31 @@
 ) -> dict[str, int]:
     """Return a host's part of each limit when all hosts share evenly."""
     shares: dict[str, int] = {}
+    names = [name.encode() for name in hosts]
     for key, limit in limits.items():
         share, remainder = divmod(limit, len(hosts))
         if remainder:
-            order = rendezvous.rank_names(key=key, names=hosts)
-            share += order.index(host) < remainder
+            share += _place(key, host, hosts, names) < remainder
         shares[key] = share
     return shares
 
 
+def _place(
+    key: str, host: str, hosts: frozenset[str], names: list[bytes]
+) -> int:
+    """Return the host's place in rendezvous.rank_names, without sorting.
+
+    A table has hundreds of keys and hosts; ranking them all for each key
+    holds up the event loop for 20 ms.
+    """
+    prefix = f"{key}\0".encode()
+    weights = [xxhash.xxh64_intdigest(prefix + name) for name in names]
+    own = xxhash.xxh64_intdigest(prefix + host.encode())
+    if weights.count(own) != 1:
+        return rendezvous.rank_names(key=key, names=hosts).index(host)
+    return sum(map(own.__lt__, weights))
+
+
 def units_under(seat: model.Seat | None, key: str, limit: int) -> int:
     """Return what a seat's units are worth under a limit in force."""
     if seat is None:
@@ -202,6 +219,7 @@
         for name, seat in table.seats.items()
         if name != host and name not in expired
     }
+    taken = _taken(others.values(), limits)
     units: dict[str, int] = {}
     unit_limits: dict[str, int] = {}
     for key in limits.keys() | (mine.units.keys() if mine else set()):
@@ -211,7 +229,7 @@
             share=0 if leaving else fair.get(key, 0),
             floor=floors.get(key, 0),
             mine=mine,
-            others=others.values(),
+            taken=taken.get(key, 0),
         )
         if amount:
             units[key] = amount
@@ -235,6 +253,25 @@
     )
 
 
+def _taken(
+    others: Iterable[model.Seat], limits: Mapping[str, int]
+) -> dict[str, int]:
+    """Return what the seats of others take of each limit in force.
+
+    Rounded up, so that the weights never add up to more than 1.
+    """
+    taken = dict.fromkeys(limits, 0)
+    for seat in others:
+        limits_then = seat.limits
+        for key, units in seat.units.items():
+            limit, limit_then = limits.get(key, 0), limits_then[key]
+            if limit == limit_then:
+                taken[key] += units
+            elif limit:
+                taken[key] -= -units * limit // limit_then
+    return taken
+
+
 def _plan_key(
     key: str,
     *,
@@ -242,17 +279,11 @@
     share: int,
     floor: int,
     mine: model.Seat | None,
-    others: Iterable[model.Seat],
+    taken: int,
 ) -> tuple[int, int]:
     have = mine.units.get(key, 0) if mine else 0
     have_limit = mine.limits.get(key, limit) if mine else limit
     scaled = units_under(mine, key, limit)
-    # Rounded up, so that the weights never add up to more than 1.
-    taken = sum(
-        -(-seat.units[key] * limit // seat.limits[key])
-        for seat in others
-        if key in seat.units
-    )
     target = min(share, max(scaled, limit - taken))
     floor = min(floor, have)
     if floor <= target:
