Let far hosts keep up where only the lowest position is heard

Cause: hosts that are not carriers learn of another zone's rising position only from summaries, which are repeated each 600 s. Their look-ups would take the hosts of all other zones for lagging 4 s after a change.

Ruled out: telling all hosts each zone's position, 1.8 KB for each change and peer.

Change: far_hosts raises their position to the fleet's lowest, which every zone has reached. A test guards it.

--- a/src/samphirelug/components/peers/relay.py
+++ b/src/samphirelug/components/peers/relay.py
@@ -258,10 +258,14 @@
 
     def far_hosts(self, *, now: float) -> tuple[model.Heartbeat, ...]:
         """Return serving hosts that summaries name, with clocks aged."""
+        # Hosts that are not carriers learn of a zone's rise only by this.
+        lowest = self.lowest()
         return tuple(
             beat._replace(
                 catalogue_revision=max(
-                    beat.catalogue_revision, self.status_of(zone).revision
+                    beat.catalogue_revision,
+                    self.status_of(zone).revision,
+                    lowest,
                 )
             )
             for zone, known in self.zones.items()
--- a/tests/components/peers/test_relay.py
+++ b/tests/components/peers/test_relay.py
@@ -258,3 +258,19 @@
     )
     (passed,) = tick(made, 100.0)["w9"].summaries
     assert passed.entry_hosts[0].clock_ms == 1000 + 99_000
+
+
+def test_far_hosts_keep_up_where_only_the_lowest_is_heard() -> None:
+    """Guards against look-ups that take every far host for lagging."""
+    made = relay.Relay(own=builders.make_host("eh1"))
+    made.set_peers(watcher=False, carrier=False, carriers=["w0"], others=())
+    beat = test_io_mesh.make_heartbeat(
+        builders.make_host("eh9", zone="tartu-a")
+    )
+    summary = make_summary(1, 8)._replace(entry_hosts=(beat,))
+    message = relayed(summaries=(summary,))._replace(lowest_revision=20)
+    made.receive("w0", message, now=0.0)
+    # A watcher that is not a carrier knows no lowest position.
+    made.receive("w1", relayed(), now=0.1)
+    (far,) = made.far_hosts(now=1.0)
+    assert far.catalogue_revision == 20
