Simulate restarts, a lost zone and a cut between regions

Cause: the capacity figures had none for faults.

Change: python -m benchmarks.capacity faults, at three sizes.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -1,7 +1,7 @@
 """Measure slopes on this machine and work out the two-year size from them.
 
 python -m benchmarks.capacity [all|catalogue|messages|peers|seats|lookup|
-store|traffic]. docs/CAPACITY.md explains the figures.
+store|traffic|faults]. docs/CAPACITY.md explains the figures.
 """
 
 from collections.abc import Callable
@@ -19,6 +19,7 @@
 import numpy
 import typer
 
+from benchmarks import capacity_faults
 from benchmarks import capacity_store
 from samphirelug.components.catalogue import codec as catalogue_codec
 from samphirelug.components.catalogue import model as catalogue_model
@@ -488,6 +489,22 @@
         fleet.measure(size, seconds=9.0, rng=random.Random(1))
 
 
+def measure_faults() -> None:
+    """Simulate faults at three sizes."""
+    sizes = (372, 744, 1488)
+    for title, run in (
+        ("zone lost: sighting s", capacity_faults.lose_zone),
+        (
+            "regions cut: bytes/s in it, after it, sighting s",
+            capacity_faults.cut_regions,
+        ),
+        ("host restarted: bytes, s", capacity_faults.restart_host),
+    ):
+        results = [run(size) for size in sizes]
+        for number, values in enumerate(zip(*results, strict=True)):
+            show(f"{title} [{number}]", sizes, values, unit="", target=NODES)
+
+
 PARTS: dict[str, Callable[[], None]] = {
     "catalogue": measure_catalogue,
     "messages": measure_messages,
@@ -496,6 +513,7 @@
     "lookup": measure_lookup,
     "store": measure_store,
     "traffic": measure_traffic,
+    "faults": measure_faults,
 }
 
 
