Build the index of backend servers with less work for each

Cause: each catalogue change builds a view, and with 3,300 sites most of the time goes into 6,600 servers.

Change: positional arguments, and one look-up of each place.

--- a/src/samphirelug/components/catalogue/view.py
+++ b/src/samphirelug/components/catalogue/view.py
@@ -86,19 +86,26 @@
                 self.zones[name] = core.AvailabilityZone(name, region["name"])
 
     def _index_servers(self) -> None:
+        # A catalogue has thousands of servers, and each change builds a view.
+        zones, servers, servers_in = self.zones, self.servers, self._servers_in
         for service in self.services.values():
+            name = service["name"]
             for entry in service["servers"]:
-                zone = self.zones.get(entry["availability_zone"])
+                zone = zones.get(entry["availability_zone"])
                 if zone is None:
                     continue
                 server = core.BackendServer(
-                    name=entry["name"],
-                    service=service["name"],
-                    zone=zone,
-                    address=entry["address"],
-                    slots=entry["slots"],
-                    connections=entry["connections"],
+                    entry["name"],
+                    name,
+                    zone,
+                    entry["address"],
+                    entry["slots"],
+                    entry["connections"],
                 )
-                self.servers[server.name] = server
-                place = (service["name"], zone.region)
-                self._servers_in.setdefault(place, []).append(server)
+                servers[server.name] = server
+                place = (name, zone.region)
+                known = servers_in.get(place)
+                if known is None:
+                    servers_in[place] = [server]
+                else:
+                    known.append(server)
