--- a/src/samphirelug/components/peers/topology.py
+++ b/src/samphirelug/components/peers/topology.py
@@ -19,7 +19,9 @@
 
 def watchers_of(zone: str, names: Iterable[str]) -> tuple[str, ...]:
     """Return the watchers of a zone, given its live hosts."""
-    ranked = rendezvous.rank_names(key=f"watchers/{zone}", names=names)
+    # The key by which CatalogueSync ranks too. By another one, most hosts
+    # that hear only these watchers would take themselves for a watcher.
+    ranked = rendezvous.rank_names(key=zone, names=names)
     return tuple(ranked[: const.WATCHERS_PER_ZONE])
 
 
@@ -91,10 +93,9 @@
 
 def _far_peers(own: Node, far: list[str], plan: Plan) -> set[str]:
     # Both watchers of a zone choose by their own names, so that the zone
-    # reaches twelve others, and each dials one watcher of a zone it chose.
+    # reaches twice as many others. First watchers dial first ones, since
+    # these pass positions to each other.
     key = f"far/{own.name}"
     ranked = rendezvous.rank_names(key=key, names=far)[: const.FAR_ZONES]
-    return {
-        rendezvous.rank_names(key=key, names=plan.watchers_in(zone))[0]
-        for zone in ranked
-    }
+    place = plan.watchers_in(own.zone.name).index(own.name)
+    return {plan.watchers_in(zone)[: place + 1][-1] for zone in ranked}
