Carry the stopping clock and request digests in a hand-over

Cause: whether an unlisted token of a stopped incarnation was certainly not run was decided with the clock of its last heartbeat, and another host could not tell whether a repeat was the same request as the first.

Ruled out: keeping the heartbeat's clock as a fallback, since a late heartbeat makes a forgotten token look unused; raising the protocol number, since no release with the former records has been made.

Change: OutcomeHandover has clock_ms, read after the book has closed; a mark without it proves nothing ("outcome unknown"). OutcomeRecord has the digest of its request; a different request under the token gets TOKEN_INVALID at every host. Both have defaults, so messages without them are still read.

Conclusion: "not run" after a planned stop rests only on what the stopped incarnation itself said.

--- a/src/samphirelug/components/execution/executor.py
+++ b/src/samphirelug/components/execution/executor.py
@@ -146,9 +146,13 @@
 
         No token starts after this call.
         """
+        records = self.outcomes.records()
+        # Read after the book has closed, so that no token that the book
+        # forgot before closing counts as valid.
         messages = handover.messages_for(
             incarnation=self.host.incarnation,
-            records=self.outcomes.records(),
+            records=records,
+            clock_ms=self.outcomes.clock_ms(),
         )
         peers = [
             view.heartbeat.host.name
@@ -177,8 +181,7 @@
     ) -> peer_model.Message | None:
         """Keep the outcomes of a peer that is stopping."""
         assert isinstance(message, peer_model.OutcomeHandover)
-        clock_ms = self._clock_of(message.incarnation)
-        if not self.outcomes.accept_handover(message, clock_ms=clock_ms):
+        if not self.outcomes.accept_handover(message):
             LOG.warning("no room for the outcomes of %s", sender)
             return None
         return peer_model.Acknowledgement()
@@ -212,9 +215,10 @@
             return _refuse(
                 ResultCode.TOKEN_INVALID, "the token is for other work"
             )
+        digest = _digest(request)
         if content.incarnation != self.host.incarnation:
-            return await self._ask_named_host(token, content)
-        claim = self.outcomes.begin(content, _digest(request))
+            return await self._ask_named_host(token, content, digest)
+        claim = self.outcomes.begin(content, digest)
         if claim.outcome is not None:
             return claim.outcome
         if claim.standing is model.Standing.FIRST:
@@ -411,15 +415,19 @@
         )
 
     async def _ask_named_host(
-        self, token: str, content: tokens.RunToken
+        self, token: str, content: tokens.RunToken, digest: bytes = b""
     ) -> model.Outcome:
-        """Return what the named host knows; never run the work here."""
+        """Return what the named host knows; never run the work here.
+
+        With a digest, the outcome is given only to the request that it
+        belongs to.
+        """
         record = self.outcomes.record_of_stopped(content)
         if (
             record.code != ResultCode.ENTRY_HOST_LOST
             or content.host == self.host.name
         ):
-            return outcomes_module.outcome_of(record)
+            return outcomes_module.outcome_of(record, digest)
         reply = await self.mesh.request(
             content.host,
             peer_model.OutcomeQuery(token),
@@ -431,10 +439,10 @@
                 isinstance(message, peer_model.OutcomeReply)
                 and message.record.token_id == content.token_id
             ):
-                return outcomes_module.outcome_of(message.record)
+                return outcomes_module.outcome_of(message.record, digest)
         # The host may have handed over its outcomes while being asked.
         record = self.outcomes.record_of_stopped(content)
-        return outcomes_module.outcome_of(record)
+        return outcomes_module.outcome_of(record, digest)
 
     async def _hand_over_to(
         self,
@@ -455,14 +463,6 @@
                 return False
         return True
 
-    def _clock_of(self, incarnation: str) -> int | None:
-        """Return a peer's clock in ms by its last heartbeat."""
-        for view in self.mesh.live_peers():
-            if view.heartbeat.host.incarnation == incarnation:
-                since_s = self.timer.monotonic() - view.heard_at_s
-                return view.heartbeat.clock_ms + int(since_s * 1000)
-        return None
-
 
 def _result_of(run: Run) -> model.Outcome:
     assert run.task is not None
--- a/src/samphirelug/components/execution/handover.py
+++ b/src/samphirelug/components/execution/handover.py
@@ -13,6 +13,7 @@
     *,
     incarnation: str,
     records: tuple[peer_model.OutcomeRecord, ...],
+    clock_ms: int,
     max_bytes: int = const.HANDOVER_MESSAGE_BYTES,
 ) -> tuple[peer_model.OutcomeHandover, ...]:
     """Return messages in the order to send; the mark is in the last one.
@@ -28,10 +29,12 @@
         [record for record in records if record.answer is None],
     ):
         batches.extend(_batches(group, max_bytes))
-    messages = [_message(incarnation, batch, False) for batch in batches]
+    messages = [
+        _message(incarnation, batch, False, clock_ms) for batch in batches
+    ]
     bare = list(outcomes.without_answers(records))
     if sum(_size(record) for record in bare) <= max_bytes:
-        messages.append(_message(incarnation, bare, True))
+        messages.append(_message(incarnation, bare, True, clock_ms))
     return tuple(messages)
 
 
@@ -54,6 +57,7 @@
     incarnation: str,
     records: list[peer_model.OutcomeRecord],
     complete: bool,
+    clock_ms: int,
 ) -> peer_model.OutcomeHandover:
     # No token of the incarnation is accepted for longer than this.
     ttl_s = common_const.TOKEN_TTL_S + const.KEEP_AFTER_EXPIRY_S
@@ -62,6 +66,7 @@
         records=tuple(records),
         complete=complete,
         ttl_ms=int(ttl_s * 1000),
+        clock_ms=clock_ms,
     )
 
 
--- a/src/samphirelug/components/execution/outcomes.py
+++ b/src/samphirelug/components/execution/outcomes.py
@@ -191,13 +191,10 @@
             records.append(record)
         return tuple(records)
 
-    def accept_handover(
-        self, handover: peer_model.OutcomeHandover, *, clock_ms: int | None
-    ) -> bool:
+    def accept_handover(self, handover: peer_model.OutcomeHandover) -> bool:
         """Keep outcomes of a stopped incarnation; false when full.
 
-        The clock is the incarnation's own, as known from heartbeats. A
-        complete hand-over names every token of the incarnation by itself,
+        A complete hand-over names every token of the incarnation by itself,
         so a lost earlier message loses answers but no token.
         """
         self._forget()
@@ -215,7 +212,7 @@
             return False
         closed_at_ms = known.closed_at_ms if known is not None else None
         if handover.complete and closed_at_ms is None:
-            closed_at_ms = clock_ms
+            closed_at_ms = handover.clock_ms
         self.handed_over[handover.incarnation] = HandedOver(
             records=records,
             closed_at_ms=closed_at_ms,
@@ -330,6 +327,7 @@
             detail=detail,
             answer=entry.answer,
             ttl_ms=max(0, entry.forget_ms - self.clock_ms()),
+            digest=entry.digest,
         )
 
     def _within_bounds(
@@ -354,6 +352,9 @@
 
 
 _NOT_KEPT = "the work was run; its answer is not kept"
+_OTHER_REQUEST = result_codes.Refusal(
+    ResultCode.TOKEN_INVALID, "the token was used for a different request"
+)
 
 
 def without_answers(
@@ -363,8 +364,15 @@
     return tuple(_without_answer(record) for record in records)
 
 
-def outcome_of(record: peer_model.OutcomeRecord) -> model.Outcome:
-    """Return the outcome that a record stands for."""
+def outcome_of(
+    record: peer_model.OutcomeRecord, digest: bytes = b""
+) -> model.Outcome:
+    """Return the outcome that a record stands for.
+
+    A request with another digest than the record's gets TOKEN_INVALID.
+    """
+    if record.digest and digest and record.digest != digest:
+        return Failure(_OTHER_REQUEST)
     if record.answer is not None:
         return Success(record.answer)
     try:
@@ -381,12 +389,7 @@
 
 def _claim(entry: Entry, digest: bytes) -> model.Claim:
     if entry.digest and entry.digest != digest:
-        return _refused(
-            result_codes.Refusal(
-                ResultCode.TOKEN_INVALID,
-                "the token was used for a different request",
-            )
-        )
+        return _refused(_OTHER_REQUEST)
     if entry.code is None:
         return model.Claim(model.Standing.RUNNING)
     if entry.answer is not None:
--- a/src/samphirelug/components/peers/model.py
+++ b/src/samphirelug/components/peers/model.py
@@ -149,6 +149,8 @@
     answer: core.Answer | None
     # Milliseconds left until the token expires.
     ttl_ms: int
+    # Identifies the request that used the token; empty where unknown.
+    digest: bytes = b""
 
 
 class OutcomeQuery(NamedTuple):
@@ -171,6 +173,9 @@
     # Set on the last message: no other token of the incarnation has run.
     complete: bool
     ttl_ms: int
+    # Clock of the incarnation when its last token could start. Without it,
+    # as in messages of earlier releases, the mark proves nothing.
+    clock_ms: Sequence | None = None
 
 
 class Acknowledgement(NamedTuple):
--- a/tests/components/execution/test_executor.py
+++ b/tests/components/execution/test_executor.py
@@ -11,6 +11,7 @@
 from samphirelug.components.backend.model import FailureKind
 from samphirelug.components.execution import const
 from samphirelug.components.execution import model
+from samphirelug.components.peers import model as peer_model
 from samphirelug import result_codes
 from samphirelug.result_codes import ResultCode
 from tests.components.execution import world as world_module
@@ -277,6 +278,27 @@
     ]
 
 
+async def handover_carries_its_clock(world: world_module.World) -> None:
+    """An old heartbeat makes a forgotten token look unused."""
+    token = world.token()
+    await complete(world, token)
+    beat = world.hosts["eh1"].heartbeat()
+    world.hosts["eh1"].heartbeat = lambda: beat  # type: ignore[method-assign]
+    world.clock.advance(200.0)
+    await stop(world, delivered=99)
+    assert await at_other_host(world, token) is ResultCode.ENTRY_HOST_LOST
+    mark = peer_model.OutcomeHandover("eh9-1", (), True, 9000)
+    unused = world.token()
+    content = world.issuer.read(unused).unwrap()._replace(incarnation="eh9-1")
+    book = world.hosts["eh2"].book
+    for handover, code_then in (
+        (mark, ResultCode.ENTRY_HOST_LOST),
+        (mark._replace(clock_ms=1), ResultCode.TOKEN_REVOKED),
+    ):
+        assert book.accept_handover(handover)
+        assert book.record_of_stopped(content).code == code_then
+
+
 async def handover_without_mark(world: world_module.World) -> None:
     """Without the closing mark an unlisted token may have run."""
     used, unused = world.token(), world.token()
@@ -340,6 +362,19 @@
     assert await code(call) is ResultCode.TOKEN_INVALID
 
 
+async def token_stands_for_one_request_everywhere(
+    world: world_module.World,
+) -> None:
+    """Another host gives no foreign answer, also after a planned stop."""
+    token = world.token()
+    await complete(world, token)
+    for _ in range(2):
+        other = await at_other_host(world, token, "other")
+        assert other is ResultCode.TOKEN_INVALID
+        assert await at_other_host(world, token) is ResultCode.OK
+        await stop(world, delivered=99)
+
+
 async def forged_token_is_refused(world: world_module.World) -> None:
     """A token that was changed or is for other work does not run."""
     token = world.token()
@@ -366,12 +401,14 @@
     other_host_tells_the_outcome,
     dead_incarnation_is_unknown,
     handover_is_complete,
+    handover_carries_its_clock,
     handover_without_mark,
     handover_of_forgotten_token,
     closed_book_starts_nothing,
     expired_token_does_not_run,
     forgotten_token_is_unknown,
     token_stands_for_one_request,
+    token_stands_for_one_request_everywhere,
     forged_token_is_refused,
 ]
 
--- a/tests/components/execution/test_outcomes.py
+++ b/tests/components/execution/test_outcomes.py
@@ -162,6 +162,7 @@
     messages = handover.messages_for(
         incarnation=HOST.incarnation,
         records=books.book.records(),
+        clock_ms=1000,
         max_bytes=1000,
     )
     assert [message.complete for message in messages].count(True) == 1
@@ -169,11 +170,11 @@
     assert all(record.answer is None for record in messages[-1].records)
     peer = books.make(builders.make_host("eh2"))
     for message in (*messages, *messages):
-        assert peer.accept_handover(message, clock_ms=1000)
+        assert peer.accept_handover(message)
     codes = {peer.record_of_stopped(make_token(n)).code for n in "abcd"}
     assert codes <= {ResultCode.OK, ResultCode.OUTCOME_NOT_KEPT}
     others = peer_model.OutcomeHandover("x-1", messages[-1].records, True, 9)
-    assert not peer.accept_handover(others, clock_ms=1000)
+    assert not peer.accept_handover(others)
     books.clock.advance(181.0)
     lost = peer.record_of_stopped(make_token("a"))
     assert lost.code == ResultCode.ENTRY_HOST_LOST
@@ -186,7 +187,7 @@
         for number in range(50)
     )
     messages = handover.messages_for(
-        incarnation="eh1-1", records=records, max_bytes=1000
+        incarnation="eh1-1", records=records, clock_ms=1, max_bytes=1000
     )
     assert not any(message.complete for message in messages)
     assert sum(len(message.records) for message in messages) == 50
--- a/tests/components/peers/test_codec.py
+++ b/tests/components/peers/test_codec.py
@@ -27,7 +27,7 @@
     sightings=(model.Sighting("s1", "", True, 4),),
 )
 RECORD = model.OutcomeRecord(
-    "t", 0, "", core.Answer(200, "OK", (("a", "b"),), b"\xff\0", "s1"), 5
+    "t", 0, "", core.Answer(200, "OK", (("a", "b"),), b"\xff\0", "s1"), 5, b"d"
 )
 WORK = builders.make_work("file-claim", work_class=core.WorkClass.FILING)
 SUMMARY = model.ZoneSummary(HOST.zone, 2, 7, ("eh2",), 1, 3, (BEAT,))
@@ -67,7 +67,7 @@
     model.GrantReturn("l", 0),
     model.OutcomeQuery("token"),
     model.OutcomeReply(RECORD),
-    model.OutcomeHandover("eh1-1", (RECORD,), True, 9),
+    model.OutcomeHandover("eh1-1", (RECORD,), True, 9, 7),
     model.Acknowledgement(),
 )
 
@@ -90,6 +90,14 @@
     frame = {"type": "GrantReturn", "loan_id": "l", "bundle_number": 1}
     known = codec.decode(cbor2.dumps({**frame, "colour": [1]})).unwrap()
     assert known == model.Frame(model.GrantReturn("l", 1))
+    record = ["t", 0, "", None, 5]
+    older = {"incarnation": "i", "records": [record], "complete": True}
+    older |= {"type": "OutcomeHandover", "ttl_ms": 1}
+    handover = codec.decode(cbor2.dumps(older)).unwrap()
+    assert isinstance(handover, model.Frame)
+    assert isinstance(handover.message, model.OutcomeHandover)
+    assert handover.message.clock_ms is None
+    assert handover.message.records[0].digest == b""
     newer = codec.decode(cbor2.dumps({**frame, "type": "Later"})).unwrap()
     assert newer == codec.UnknownType("Later")
 
