Count header blocks and framing in the bytes of a link

Cause: a request reserved its body and max_answer_bytes on a link, but up to 16 KiB of header block went each way uncounted, so many small requests could pass the limit of the link.

Ruled out: computing the header sizes from the parsed answer, since fields that the entry host drops and chunk framing would be missed; a larger answer type, since answers are nested in messages between hosts.

Change: a bundle over a link reserves 17 KiB more in each direction. The client counts the bytes that pass its socket, and the end of a permit gives back what was not sent or received. Loans still return whole.

Figures: reserved for a body of 100 bytes and an answer limit of 65,536: 100 and 65,536 before, 17,508 and 82,944 now; counted after an answer of 300 bytes sent and 500 received: 100 and 400 before, 300 and 500 now.

Conclusion: what passes the socket is what the link units count. Framing above the reservation (many tiny chunks) and TCP and IP headers are not counted.

--- a/src/samphirelug/components/admission/controller.py
+++ b/src/samphirelug/components/admission/controller.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 import itertools
 import math
 from typing import NamedTuple
@@ -17,6 +18,7 @@
 from samphirelug.components.admission import ports
 from samphirelug.components.admission import queue
 from samphirelug.components.admission import scheduler
+from samphirelug.components.backend import model as backend_model
 from samphirelug.components.catalogue import model as catalogue_model
 from samphirelug.components.catalogue import view as catalogue_view
 from samphirelug.components.metrics import registry
@@ -182,10 +184,12 @@
         ended: model.PermitEnd,
         request: core.CallerRequest,
         answer_bytes: int,
+        traffic: backend_model.Traffic | None = None,
     ) -> None:
         """End a permit; a second call has no effect.
 
-        Give 0 answer bytes when the request was certainly not sent.
+        Give 0 answer bytes when the request was certainly not sent. Without
+        the traffic, all bytes reserved for the request count as sent.
         """
         opened = self.open.pop((permit.source, permit.hold_id), None)
         if opened is None:
@@ -206,7 +210,14 @@
                     permit, ended=ended, deadline_at_s=request.deadline_at_s
                 )
             else:
-                self._release(permit, opened, end_s, orphaned, answer_bytes)
+                here = self.host.zone.region
+                back = limits.link_key(permit.bundle.region, here)
+                sizes = {back: answer_bytes}
+                if traffic is not None:
+                    there = limits.link_key(here, permit.bundle.region)
+                    sizes[there] = traffic.sent_bytes
+                    sizes[back] = traffic.received_bytes
+                self._release(permit, opened, end_s, orphaned, sizes)
         finally:
             self._paused = False
         if self._woken or permit.source is model.PermitSource.LOAN:
@@ -560,13 +571,12 @@
         opened: OpenPermit,
         end_s: float,
         orphaned: bool,
-        answer_bytes: int,
+        sizes: Mapping[str, int],
     ) -> None:
-        back = limits.link_key(permit.bundle.region, self.host.zone.region)
         for key, reserved in opened.units:
             amount = reserved
-            if key == back and not orphaned:
-                amount = min(reserved, answer_bytes)
+            if key in sizes and not orphaned:
+                amount = min(reserved, sizes[key])
                 self.ledger.shrink(permit.hold_id, key, amount)
                 self.usage.add(key, opened.rank, amount - reserved)
             linger_s = self.ledger.linger_s(key) or 0.0
--- a/src/samphirelug/components/backend/io_client.py
+++ b/src/samphirelug/components/backend/io_client.py
@@ -69,9 +69,10 @@
 
 
 class CountingStream(iostream.IOStream):
-    """Count the bytes that the kernel took over for sending."""
+    """Count the bytes that the kernel took over and gave."""
 
     sent_bytes = 0
+    received_bytes = 0
 
     def write_to_fd(self, data: memoryview) -> int:
         """Pass bytes to the kernel and return how many it took."""
@@ -79,6 +80,12 @@
         self.sent_bytes += taken
         return taken
 
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Take bytes from the kernel and return how many it had."""
+        given = super().read_from_fd(buf)
+        self.received_bytes += given or 0
+        return given
+
 
 class AnswerReader(httputil.HTTPMessageDelegate):
     """Collect one answer and settle how the attempt ended."""
@@ -222,6 +229,9 @@
             return await self._exchange(stream, request)
         finally:
             stream.close()
+            if request.traffic is not None:
+                request.traffic.sent_bytes = stream.sent_bytes
+                request.traffic.received_bytes = stream.received_bytes
 
     async def probe(
         self, server: core.BackendServer, health_path: str, *, timeout_s: float
--- a/src/samphirelug/components/backend/model.py
+++ b/src/samphirelug/components/backend/model.py
@@ -6,6 +6,14 @@
 from samphirelug import core
 
 
+class Traffic:
+    """Count the bytes of one attempt, headers and framing included."""
+
+    def __init__(self) -> None:
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+
 class BackendRequest(NamedTuple):
     """Hold one attempt to run a caller's request on a server."""
 
@@ -19,6 +27,8 @@
     # On the entry host's own monotonic clock.
     deadline_at_s: float
     max_answer_bytes: int
+    # Filled in by the client when the attempt has ended.
+    traffic: Traffic | None = None
 
 
 class FailureKind(enum.StrEnum):
--- a/src/samphirelug/components/execution/executor.py
+++ b/src/samphirelug/components/execution/executor.py
@@ -347,7 +347,13 @@
         name = permit.bundle.server
         server = self.catalogue.view.servers.get(name)
         if server is None:
-            self._finish(permit, request, certain=True, answer_bytes=0)
+            self._finish(
+                permit,
+                request,
+                certain=True,
+                answer_bytes=0,
+                traffic=backend_model.Traffic(),
+            )
             return Failure(
                 backend_model.BackendFailure(
                     backend_model.FailureKind.NOT_SENT,
@@ -355,6 +361,7 @@
                 )
             )
         query = f"?{request.query}" if request.query else ""
+        traffic = backend_model.Traffic()
         attempt = backend_model.BackendRequest(
             request_id=request.request_id,
             server=server,
@@ -364,6 +371,7 @@
             body=request.body,
             deadline_at_s=request.deadline_at_s,
             max_answer_bytes=work["max_answer_bytes"],
+            traffic=traffic,
         )
         started_s = self.timer.monotonic()
         run.dispatched = True
@@ -392,7 +400,11 @@
             raise
         finally:
             self._finish(
-                permit, request, certain=certain, answer_bytes=answer_bytes
+                permit,
+                request,
+                certain=certain,
+                answer_bytes=answer_bytes,
+                traffic=traffic,
             )
             latency_s = self.timer.monotonic() - started_s
             self.health.ended(name, latency_s=latency_s, failure=failure)
@@ -404,6 +416,7 @@
         *,
         certain: bool,
         answer_bytes: int,
+        traffic: backend_model.Traffic,
     ) -> None:
         ended = (
             admission_model.PermitEnd.COMPLETE
@@ -411,7 +424,11 @@
             else admission_model.PermitEnd.ORPHANED
         )
         self.admission.finish(
-            permit, ended=ended, request=request, answer_bytes=answer_bytes
+            permit,
+            ended=ended,
+            request=request,
+            answer_bytes=answer_bytes,
+            traffic=traffic,
         )
 
     async def _ask_named_host(
--- a/src/samphirelug/components/execution/model.py
+++ b/src/samphirelug/components/execution/model.py
@@ -7,6 +7,7 @@
 from returns.result import Result
 
 from samphirelug.components.admission import model as admission_model
+from samphirelug.components.backend import model as backend_model
 from samphirelug import core
 from samphirelug import result_codes
 
@@ -46,5 +47,6 @@
         ended: admission_model.PermitEnd,
         request: core.CallerRequest,
         answer_bytes: int,
+        traffic: backend_model.Traffic | None = None,
     ) -> None:
         """Give back a permit."""
--- a/src/samphirelug/components/quota/const.py
+++ b/src/samphirelug/components/quota/const.py
@@ -12,3 +12,6 @@
 REQUEST_HOLD_S = const.MAX_REQUEST_S + const.ORPHAN_MARGIN_S
 # Reserved link bytes count for this long, the window of bytes_per_s.
 LINK_LINGER_S = 1.0
+# Bound of a header block on a link, with the fields that the entry host adds
+# to a request, such as its deadline.
+LINK_HEADER_BYTES = const.MAX_HEADER_BYTES + 1024
--- a/src/samphirelug/components/quota/limits.py
+++ b/src/samphirelug/components/quota/limits.py
@@ -113,13 +113,10 @@
     if home_region != region:
         units.append(model.UnitAmount(shift_key(region), 1))
     if host_region != region:
-        if body_bytes:
-            units.append(
-                model.UnitAmount(link_key(host_region, region), body_bytes)
-            )
-        units.append(
-            model.UnitAmount(
-                link_key(region, host_region), work["max_answer_bytes"]
-            )
-        )
+        for key, size in (
+            (link_key(host_region, region), body_bytes),
+            (link_key(region, host_region), work["max_answer_bytes"]),
+        ):
+            amount = size + const.LINK_HEADER_BYTES
+            units.append(model.UnitAmount(key, amount))
     return model.Bundle(region, server.name, tuple(units))
--- a/tests/components/backend/test_io_client.py
+++ b/tests/components/backend/test_io_client.py
@@ -378,3 +378,24 @@
             assert result == expected
 
     asyncio.run(scenario())
+
+
+def test_whole_traffic_is_counted() -> None:
+    """Guard against header blocks and framing that no link unit pays for."""
+    answer = OK_HEAD + b"Content-Length: 2\r\n\r\nok"
+    traffic = model.Traffic()
+
+    async def scenario() -> None:
+        async with raw_server.running(raw_server.scripted(answer)) as server:
+            client = io_client.HttpBackendClient(
+                timer=timer.LoopTimerService()
+            )
+            request = raw_server.make_request(
+                server.backend(), deadline_at_s=client.timer.monotonic() + 5.0
+            )
+            await client.send(request._replace(traffic=traffic))
+
+    asyncio.run(scenario())
+    assert traffic.received_bytes == len(answer)
+    head = b"POST /claims?x=1 HTTP/1.1\r\n\r\n"
+    assert traffic.sent_bytes > len(head) + len(b"claim")
--- a/tests/components/execution/world.py
+++ b/tests/components/execution/world.py
@@ -149,8 +149,10 @@
         ended: PermitEnd,
         request: core.CallerRequest,  # noqa: ARG002
         answer_bytes: int,  # noqa: ARG002
+        traffic: backend_model.Traffic | None = None,
     ) -> None:
         """Fail when a permit ends twice."""
+        assert traffic is not None
         self.held.remove(permit.hold_id)
         self.ended.append(ended)
 
