Borrow plain link bytes that a host's own share lacks

Cause: a bundle that needs more bytes of a link than the host's own share (an answer limit of 16 MiB at 300 Mbit/s, six hosts at the link) was never admitted: Borrower sent no UnitRequest.

Ruled out: giving the bytes to smaller requests as they arrive (a large one would never fit, so a round's units come into use all at once, or go back); keeping half of a lender's spare bytes (the last needed bytes are then missing; only a host beyond its share asks); chains of plain loans.

Change: Borrower.want_units asks the hosts of the link's two regions. A lender may put borrowed bytes into a bundle whose loan ends no later than its own, and asks for bytes when a bundle lacks them. A host that collects bytes of a key lends none of it. The catalogue refuses work whose body or answer limit, with the header block, exceeds one second of a link that it may use.

A lost UnitGrant costs its lender the bytes for the longest hold, as a lost bundle does. Two hosts that collect at once retry after a random 0.5 to 1.5 s; no bound on that wait is proved.

--- a/src/samphirelug/components/admission/controller.py
+++ b/src/samphirelug/components/admission/controller.py
@@ -268,6 +268,7 @@
         view = self.catalogue.view
         work = view.works.get(request.work)
         bundles: list[quota_model.Bundle] = []
+        duration_s = quota_const.LOAN_S
         if work is not None:
             self._slots.clear()
             service = work["backend_service"]
@@ -276,12 +277,18 @@
             wanted = min(request.bundles_wanted, spare, const.LEND_MAX_BUNDLES)
             for number in range(1, wanted + 1):
                 bundle = self._lend_one(
-                    view, work, request, loan_id=loan_id, number=number
+                    view, work, request, loan_id, number, duration_s
                 )
+                if bundle is None and number == 1:
+                    # Units that are borrowed themselves have less time left.
+                    duration_s /= 2.0
+                    bundle = self._lend_one(
+                        view, work, request, loan_id, number, duration_s
+                    )
                 if bundle is None:
                     break
                 bundles.append(bundle)
-        return peers_model.Grant(loan_id, tuple(bundles), quota_const.LOAN_S)
+        return peers_model.Grant(loan_id, tuple(bundles), duration_s)
 
     def grant_units(
         self, request: peers_model.UnitRequest, *, borrower: str
@@ -292,7 +299,9 @@
         for key, amount in request.units:
             reserve = self._reserve(key, core.Rank.EXPORT, self.ledger.usable)
             spare = max(0, self.ledger.free(key) - reserve)
-            lent = min(amount, math.ceil(spare * (1 - const.LEND_KEEP_PART)))
+            # Nothing is kept back, since only a host that needs more than
+            # its own share asks.
+            lent = min(amount, spare)
             if lent > 0:
                 units.append(quota_model.UnitAmount(key, lent))
         until_s = self.timer.monotonic() + quota_const.LOAN_S
@@ -919,6 +928,10 @@
                 body_bytes=head.body_bytes,
                 count=flow.count,
             )
+            if block.code is Code.LINK_LIMIT and (
+                block.needed > self.ledger.usable(block.key)
+            ):
+                self.borrower.want_units(key=block.key, needed=block.needed)
 
     def _start_tick(self) -> None:
         if self._tick is None:
@@ -1015,9 +1028,9 @@
         view: catalogue_view.CatalogueView,
         work: catalogue_model.WorkEntry,
         request: peers_model.GrantRequest,
-        *,
         loan_id: str,
         number: int,
+        duration_s: float,
     ) -> quota_model.Bundle | None:
         servers = self.planner.servers_for(
             service=work["backend_service"],
@@ -1034,11 +1047,14 @@
             home_region=request.home_region,
             body_bytes=request.body_bytes,
         )
-        until_s = self.timer.monotonic() + quota_const.LOAN_S
+        until_s = self.timer.monotonic() + duration_s
         if self.ledger.lend(
             bundle, loan_id=loan_id, bundle_number=number, until_s=until_s
         ):
             return bundle
+        for key, amount in bundle.units:
+            if key.startswith("link:") and self.ledger.usable(key) < amount:
+                self.borrower.want_units(key=key, needed=amount)
         return None
 
     def _loan_id(self, borrower: str) -> str:
--- a/src/samphirelug/components/admission/ports.py
+++ b/src/samphirelug/components/admission/ports.py
@@ -22,6 +22,9 @@
     ) -> None:
         """Ask a peer for bundles unless a request is running."""
 
+    def want_units(self, *, key: str, needed: int) -> None:
+        """Ask peers for plain units until this many are free."""
+
     def take(
         self, *, work: str, region: str, home_region: str, body_bytes: int
     ) -> model.Permit | None:
--- a/src/samphirelug/components/catalogue/schema.py
+++ b/src/samphirelug/components/catalogue/schema.py
@@ -14,6 +14,7 @@
 from returns.result import Success
 
 from samphirelug.components.catalogue import model
+from samphirelug.components.quota import const as quota_const
 from samphirelug import const
 
 Entry = (
@@ -204,6 +205,7 @@
     yield from _link_faults(entries, regions)
     yield from _server_faults(entries, zones)
     yield from _work_faults(entries, regions, zones, services)
+    yield from _size_faults(entries, zones, services)
 
 
 def _link_faults(
@@ -285,6 +287,39 @@
             )
 
 
+def _size_faults(
+    entries: Entries,
+    zones: Mapping[str, str],
+    services: Mapping[str, model.BackendServiceEntry],
+) -> Iterator[str]:
+    """Find work that can never be sent over a link that it may use."""
+    links = [entry for entry in entries.values() if entry["kind"] == "link"]
+    for key, entry in entries.items():
+        if entry["kind"] != "work":
+            continue
+        service = services.get(entry["backend_service"])
+        places = {
+            zones.get(server["availability_zone"], "").partition("/")[2]
+            for server in (service["servers"] if service else ())
+        }
+        used = places & set(entry.get("regions", places))
+        for link, (field, size) in itertools.product(
+            links,
+            (
+                ("max_body_bytes", entry["max_body_bytes"]),
+                ("max_answer_bytes", entry["max_answer_bytes"]),
+            ),
+        ):
+            # The requests of one second share the bytes, header blocks
+            # included.
+            room = link["bytes_per_s"] - quota_const.LINK_HEADER_BYTES
+            if used & set(link["regions"]) and size > room:
+                yield (
+                    f"{key}: {field}: is {size}; allowed: at most {room},"
+                    f" which link/{link['name']} carries in one second"
+                )
+
+
 def _missing(
     key: str, field: str, name: str, kind: str, known: Iterable[str]
 ) -> str:
--- a/src/samphirelug/components/quota/ledger.py
+++ b/src/samphirelug/components/quota/ledger.py
@@ -42,7 +42,7 @@
 class KeyState:
     """Hold the account of one key."""
 
-    __slots__ = ("allotted", "key", "limit", "seat", "taken")
+    __slots__ = ("allotted", "borrowed", "key", "limit", "seat", "taken")
 
     def __init__(self, *, key: str) -> None:
         self.key = key
@@ -50,6 +50,8 @@
         self.seat: SeatState | None = None
         # Units allotted under the limit in force, if the seat is valid.
         self.allotted = 0
+        # Plain units of other hosts, until their time runs out.
+        self.borrowed = 0
         # Units held, lingering and lent.
         self.taken = 0
 
@@ -75,6 +77,27 @@
         self.settled = False
 
 
+class Borrowing:
+    """Hold plain units of another host until they are given back."""
+
+    __slots__ = ("active", "units", "until_s")
+
+    def __init__(
+        self, *, units: list[tuple[KeyState, int]], until_s: float
+    ) -> None:
+        self.units = units
+        self.until_s = until_s
+        self.active = True
+
+    def end(self) -> bool:
+        """Stop using the units; tell if they were in use until now."""
+        ended, self.active = self.active, False
+        if ended:
+            for state, amount in self.units:
+                state.borrowed -= amount
+        return ended
+
+
 class QuotaLedger:
     """Decide whether units are free, and count those in use."""
 
@@ -85,6 +108,7 @@
         self._seats: dict[str, SeatState] = {}
         self._holds: dict[int, list[tuple[KeyState, int]]] = {}
         self._loans: dict[tuple[str, int], Loan] = {}
+        self._borrowings: dict[str, Borrowing] = {}
         self._hold_ids = itertools.count(1)
         # Units that come free at a time, ordered by that time.
         self._due: list[tuple[float, int, Callable[[], bool]]] = []
@@ -150,7 +174,10 @@
         self._refresh(seat)
 
     def usable(self, key: str) -> int:
-        """Return the own units of a key; 0 once the seat has lapsed."""
+        """Return the own and borrowed units of a key.
+
+        The own ones are 0 once the seat has lapsed.
+        """
         state = self._keys.get(key)
         return 0 if state is None else self._usable(state, self._now())
 
@@ -181,7 +208,7 @@
 
     def try_hold(self, bundle: model.Bundle) -> Result[int, str]:
         """Take all units of a bundle, or none and name the key lacking."""
-        taken = self._take(bundle.units, self._now())
+        taken = self._take(bundle.units, self._now(), borrowed=True)
         if isinstance(taken, str):
             return Failure(taken)
         hold_id = next(self._hold_ids)
@@ -232,9 +259,10 @@
         )
         if (loan_id, bundle_number) in self._loans:
             return False
-        # Checked at until_s, since a loan may not outlast the lender's seat.
+        # Checked at until_s, since a loan may not outlast the lender's seat
+        # nor the time of units that are borrowed themselves.
         now = self._now()
-        taken = self._take(units, max(now, until_s))
+        taken = self._take(units, max(now, until_s), borrowed=is_bundle)
         if isinstance(taken, str):
             return False
         loan = Loan(units=taken)
@@ -263,6 +291,63 @@
         if self._end(loan.units, now, now):
             self._notify()
 
+    def borrow(
+        self,
+        units: Iterable[model.UnitAmount],
+        *,
+        loan_id: str,
+        until_s: float,
+    ) -> None:
+        """Use plain units of another host until a time.
+
+        They may be lent on in bundles until the same time. Afterwards
+        requests that use them go on, and no other is dispatched until the
+        own units cover all in use.
+        """
+        now = self._now()
+        taken = [
+            (state, amount)
+            for state, amount in (
+                (self._keys.get(key), amount) for key, amount in units
+            )
+            if state is not None
+        ]
+        if loan_id in self._borrowings:
+            return
+        borrowing = self._borrowings[loan_id] = Borrowing(
+            units=taken, until_s=until_s
+        )
+        for state, amount in taken:
+            state.borrowed += amount
+        if until_s <= now:
+            borrowing.end()
+        else:
+            self._at(until_s, borrowing.end)
+
+    def give_back(self, loan_id: str) -> bool:
+        """Stop using borrowed units; False while requests still need them.
+
+        The lender may use the units as soon as it hears of this, so all in
+        use here must fit in the own units and those of other loans.
+        """
+        borrowing = self._borrowings.get(loan_id)
+        if borrowing is None:
+            return False
+        now = self._now()
+        for state, amount in borrowing.units:
+            mine = amount if borrowing.active else 0
+            if state.taken > max(0, self._usable(state, now) - mine):
+                return False
+        borrowing.end()
+        del self._borrowings[loan_id]
+        return True
+
+    def forget(self, loan_id: str) -> None:
+        """Drop a loan whose units the lender has taken back by itself."""
+        borrowing = self._borrowings.pop(loan_id, None)
+        if borrowing is not None:
+            borrowing.end()
+
     def _now(self) -> float:
         now = self.timer.monotonic()
         due = self._due
@@ -271,23 +356,40 @@
         return now
 
     def _usable(self, state: KeyState, at_s: float) -> int:
+        if state.limit is None:
+            return 0
         seat = state.seat
         if seat is None or at_s >= seat.valid_until_s:
+            return state.borrowed
+        return state.allotted + state.borrowed
+
+    def _borrowed(self, state: KeyState, at_s: float) -> int:
+        if not state.borrowed:
             return 0
-        return state.allotted
+        return sum(
+            amount
+            for borrowing in self._borrowings.values()
+            if borrowing.active and at_s < borrowing.until_s
+            for other, amount in borrowing.units
+            if other is state
+        )
 
     def _take(
-        self, units: Iterable[model.UnitAmount], at_s: float
+        self,
+        units: Iterable[model.UnitAmount],
+        at_s: float,
+        *,
+        borrowed: bool,
     ) -> list[tuple[KeyState, int]] | str:
         keys = self._keys
         taken: list[tuple[KeyState, int]] = []
         for key, amount in units:
             state = keys.get(key)
-            if (
-                state is None
-                or state.seat is None
-                or at_s >= state.seat.valid_until_s
-                or state.allotted - state.taken < amount
+            if state is None or amount > (
+                self._usable(state, at_s)
+                - state.borrowed
+                + (self._borrowed(state, at_s) if borrowed else 0)
+                - state.taken
             ):
                 for other, other_amount in taken:
                     other.taken -= other_amount
--- a/src/samphirelug/components/quota/loans.py
+++ b/src/samphirelug/components/quota/loans.py
@@ -5,6 +5,7 @@
 import itertools
 import logging
 import math
+import random
 from typing import NamedTuple
 
 from samphirelug.components.admission import model as admission_model
@@ -25,6 +26,16 @@
 # Headroom is reported with each heartbeat; a lender with nothing to spare is
 # asked again after the next one.
 REFUSED_BACKOFF_S = shared_const.HEARTBEAT_INTERVAL_S
+# Asked for on top of what is missing, since reserves for more urgent ranks
+# grow with the units at hand.
+UNIT_SURPLUS = 1.25
+# Borrowed plain units are looked at this often, and returned when nothing
+# has asked for them for a time. A peer that was refused a bundle for want of
+# them asks again after REFUSED_BACKOFF_S.
+UNIT_CHECK_S = 0.25
+UNIT_IDLE_S = 2 * REFUSED_BACKOFF_S
+# The lender takes plain units back by itself after this.
+UNIT_KEEP_S = const.LOAN_S + const.REQUEST_HOLD_S + const.LINK_LINGER_S
 # An unused bundle is returned after this, so that its lender can use it.
 IDLE_S = 0.1
 
@@ -53,6 +64,15 @@
     reusable: bool
 
 
+class UnitLoan(NamedTuple):
+    """Hold plain units that a peer has lent."""
+
+    key: str
+    lender: str
+    grant: peer_model.UnitGrant
+    sent_s: float
+
+
 class Borrower:
     """Ask peers for bundles, use them in time and return them."""
 
@@ -76,6 +96,14 @@
         self._in_use: dict[int, Borrowed] = {}
         self._running: dict[LoanSlot, asyncio.Task[None]] = {}
         self._backoff: dict[tuple[str, LoanSlot], float] = {}
+        self._unit_loans: list[UnitLoan] = []
+        self._unit_tasks: dict[str, asyncio.Task[None]] = {}
+        self._unit_backoff: dict[str, float] = {}
+        self._unit_wanted: dict[str, float] = {}
+        self._unit_check: timer_helper.Subscription | None = None
+        # Two hosts that each got a part of what both need try again at
+        # different times.
+        self._rng = random.Random(host.incarnation)
         # Apart from the ledger's hold ids, which are positive.
         self._hold_ids = itertools.count(-1, -1)
 
@@ -152,6 +180,102 @@
         else:
             self._give_back(borrowed)
 
+    def want_units(self, *, key: str, needed: int) -> None:
+        """Ask peers for bytes of a link until this many are free here."""
+        now = self.timer.monotonic()
+        self._unit_wanted[key] = now
+        if key in self._unit_tasks or now < self._unit_backoff.get(key, 0.0):
+            return
+        task = asyncio.get_running_loop().create_task(
+            self._borrow_units(key, needed)
+        )
+        self._unit_tasks[key] = task
+        task.add_done_callback(lambda _: self._unit_tasks.pop(key, None))
+
+    def is_collecting(self, key: str) -> bool:
+        """Return whether plain units of a key are being asked for."""
+        return key in self._unit_tasks
+
+    async def _borrow_units(self, key: str, needed: int) -> None:
+        # Units come into use all at once: smaller requests would use up
+        # those of the first lenders, and a large one would never fit.
+        loans: list[UnitLoan] = []
+        for lender in self._unit_lenders(key):
+            missing = needed - self.ledger.free(key) - _units_of(loans)
+            goal = math.ceil(
+                UNIT_SURPLUS * (needed - self.ledger.free(key))
+            ) - _units_of(loans)
+            if missing <= 0 or goal <= 0:
+                break
+            sent_s = self.timer.monotonic()
+            answer = await self.mesh.request(
+                lender,
+                peer_model.UnitRequest((model.UnitAmount(key, goal),)),
+                timeout_s=GRANT_TIMEOUT_S,
+            )
+            grant = answer.value_or(None)
+            if isinstance(grant, peer_model.UnitGrant) and grant.units:
+                loans.append(UnitLoan(key, lender, grant, sent_s))
+        if _units_of(loans) < needed - self.ledger.free(key):
+            wait_s = self._rng.uniform(1.0, 3.0) * REFUSED_BACKOFF_S
+            self._unit_backoff[key] = self.timer.monotonic() + wait_s
+            for loan in loans:
+                self._return_units(loan)
+            return
+        for loan in loans:
+            duration_s = min(loan.grant.duration_s, const.LOAN_S)
+            self.ledger.borrow(
+                loan.grant.units,
+                loan_id=loan.grant.loan_id,
+                until_s=loan.sent_s + duration_s * (1.0 - const.CLOCK_DRIFT),
+            )
+        self._unit_loans.extend(loans)
+        self._check_units_later()
+        if loans:
+            self._notify()
+
+    def _unit_lenders(self, key: str) -> list[str]:
+        regions = key.partition(":")[2].split(">")
+        return [
+            peer.heartbeat.host.name
+            for peer in self.mesh.live_peers()
+            if peer.connected
+            and peer.heartbeat.state is core.EntryHostState.SERVING
+            and peer.heartbeat.host.zone.region in regions
+        ]
+
+    def _check_units_later(self) -> None:
+        if self._unit_loans and self._unit_check is None:
+            self._unit_check = self.timer.call_at(
+                when_s=self.timer.monotonic() + UNIT_CHECK_S,
+                callback=self._check_units,
+            )
+
+    def _check_units(self) -> None:
+        self._unit_check = None
+        now = self.timer.monotonic()
+        kept: list[UnitLoan] = []
+        for loan in self._unit_loans:
+            loan_id = loan.grant.loan_id
+            wanted_s = self._unit_wanted.get(loan.key, -math.inf)
+            wanted = (
+                now - wanted_s < UNIT_IDLE_S
+                and now < loan.sent_s + const.LOAN_S
+            )
+            if now >= loan.sent_s + UNIT_KEEP_S:
+                self.ledger.forget(loan_id)
+            elif not wanted and self.ledger.give_back(loan_id):
+                self._return_units(loan)
+            else:
+                kept.append(loan)
+        self._unit_loans = kept
+        self._check_units_later()
+
+    def _return_units(self, loan: UnitLoan) -> None:
+        self.mesh.send(
+            loan.lender, peer_model.GrantReturn(loan.grant.loan_id, 0)
+        )
+
     async def _borrow(
         self, slot: LoanSlot, request: peer_model.GrantRequest
     ) -> None:
@@ -243,6 +367,15 @@
             callback()
 
 
+def _units_of(loans: list[UnitLoan]) -> int:
+    return sum(
+        unit.amount
+        for loan in loans
+        for unit in loan.grant.units
+        if unit.key == loan.key
+    )
+
+
 def make_return_handler(
     ledger: quota_ledger.QuotaLedger,
 ) -> peer_mesh.Handler:
--- a/src/samphirelug/entry_host.py
+++ b/src/samphirelug/entry_host.py
@@ -404,6 +404,11 @@
         self, sender: str, message: peers_model.Message
     ) -> peers_model.Message:
         assert isinstance(message, peers_model.UnitRequest)
+        if any(
+            self.borrower.is_collecting(unit.key) for unit in message.units
+        ):
+            # Two hosts that pass each other their units both lack them.
+            return peers_model.UnitGrant("", (), 0.0)
         return self.admission.grant_units(message, borrower=sender)
 
     def _on_listed_servers(
--- a/tests/components/admission/harness.py
+++ b/tests/components/admission/harness.py
@@ -39,6 +39,7 @@
     def __init__(self) -> None:
         self.on_free: list[Callable[[], None]] = []
         self.wanted: list[tuple[str, str, int]] = []
+        self.wanted_units: dict[str, int] = {}
         self.permits: list[model.Permit] = []
         self.ended: list[model.Permit] = []
 
@@ -54,6 +55,10 @@
         """Record the wish."""
         self.wanted.append((work, region, count))
 
+    def want_units(self, *, key: str, needed: int) -> None:
+        """Record the wish."""
+        self.wanted_units[key] = needed
+
     def take(
         self,
         *,
--- a/tests/components/catalogue/test_schema.py
+++ b/tests/components/catalogue/test_schema.py
@@ -115,6 +115,22 @@
         assert part in text
 
 
+def test_work_must_fit_through_its_links() -> None:
+    """Guard against work that no amount of waiting can send."""
+    entries = entries_of_small_view()
+    slow = builders.make_link("tallinn", "tartu", bytes_per_s=80_000)
+    found = schema.new_problems(
+        entries, {**entries, "link/tallinn-tartu": slow}
+    )
+    assert len(found) == 6
+    assert "max_answer_bytes: is 65536; allowed: at most 62592" in found[1]
+    for regions, count in ((["parnu"], 0), (["tartu"], 2)):
+        work = builders.make_work("w", work_class=core.WorkClass.STATUS)
+        work["regions"] = regions
+        after = {**entries, "link/tallinn-tartu": slow, "work/w": work}
+        assert len(schema.new_problems(entries, after)) == 6 + count
+
+
 @pytest.mark.parametrize(
     ("value", "reason"),
     [
--- a/tests/components/quota/simulation.py
+++ b/tests/components/quota/simulation.py
@@ -37,6 +37,7 @@
 
 CODES = result_codes.ResultCode
 STEP_S = 0.25
+BULK_KEYS = ("link:tallinn>tartu", "link:tartu>tallinn")
 SETTINGS = model.SeatSettings(
     lease_s=20.0, renew_s=6.0, margin_s=1.0, retry_max_s=2.0
 )
@@ -71,7 +72,7 @@
     return catalogue_view.CatalogueView(
         entries=[
             *entries,
-            builders.make_link("tallinn", "tartu", bytes_per_s=150_000),
+            builders.make_link("tallinn", "tartu", bytes_per_s=100_000),
             builders.make_service("filing", zones=zones, slots=4),
             work,
         ]
@@ -107,6 +108,9 @@
         self.known: list[KnownLimits] = []
         self.dispatches = 0
         self.loans = 0
+        self.unit_loans = 0
+        # Bytes of requests that need nothing but a link, where not 0.
+        self.bulk_bytes = 0
         self.peak: dict[str, float] = {}
 
     def fails(self) -> bool:
@@ -216,6 +220,7 @@
         )
         self.identity = identity
         self.mesh.set_handler(peer_model.GrantRequest, self.grant)
+        self.mesh.set_handler(peer_model.UnitRequest, self.grant_units)
         self.mesh.set_handler(
             peer_model.GrantReturn, loans.make_return_handler(self.ledger)
         )
@@ -262,6 +267,9 @@
 
     def load(self) -> None:
         """Try to dispatch a few requests, with own units or borrowed."""
+        if self.world.bulk_bytes:
+            self.load_bulk()
+            return
         rng = self.world.rng
         for _ in range(4):
             if rng.random() >= self.demand:
@@ -289,6 +297,19 @@
                 self.world.loans += 1
                 self.dispatch(permit.bundle, permit.hold_id, permit)
 
+    def load_bulk(self) -> None:
+        """Try to dispatch a request that needs many bytes of a link."""
+        amount = self.world.bulk_bytes
+        key = self.world.rng.choice(BULK_KEYS)
+        if self.world.rng.random() >= self.demand:
+            return
+        bundle = model.Bundle("tartu", "s", (model.UnitAmount(key, amount),))
+        hold = self.ledger.try_hold(bundle)
+        if isinstance(hold, Success):
+            self.dispatch(bundle, hold.unwrap(), None)
+        else:
+            self.borrower.want_units(key=key, needed=amount)
+
     def bundle(
         self, server: core.BackendServer, host_region: str, home: str
     ) -> model.Bundle:
@@ -341,6 +362,7 @@
         loan_id = f"{self.identity.incarnation}/{next(self.world.starts)}"
         lent: list[model.Bundle] = []
         view = self.world.view
+        duration_s = self.world.rng.choice([0.5, 1.0]) * const.LOAN_S
         for server in view.servers_in(service="filing", region=message.region):
             bundle = self.bundle(
                 server, message.host_region, message.home_region
@@ -349,10 +371,39 @@
                 bundle,
                 loan_id=loan_id,
                 bundle_number=len(lent) + 1,
-                until_s=self.timer.monotonic() + const.LOAN_S,
+                until_s=self.timer.monotonic() + duration_s,
             ):
                 lent.append(bundle)
-        return peer_model.Grant(loan_id, tuple(lent), const.LOAN_S)
+            elif not lent:
+                for key, amount in bundle.units:
+                    if key.startswith("link:"):
+                        self.borrower.want_units(key=key, needed=amount)
+        return peer_model.Grant(loan_id, tuple(lent), duration_s)
+
+    async def grant_units(
+        self,
+        sender: str,  # noqa: ARG002
+        message: peer_model.Message,
+    ) -> peer_model.Message:
+        """Lend all that is free, up to what is asked for."""
+        assert isinstance(message, peer_model.UnitRequest)
+        loan_id = f"{self.identity.incarnation}/{next(self.world.starts)}"
+        units = tuple(
+            model.UnitAmount(key, min(amount, self.ledger.free(key)))
+            for key, amount in message.units
+        )
+        wanted = any(self.borrower.is_collecting(key) for key, _ in units)
+        enough = all(unit.amount for unit in units) and not wanted
+        lent = enough and self.ledger.lend(
+            units,
+            loan_id=loan_id,
+            bundle_number=0,
+            until_s=self.timer.monotonic() + const.LOAN_S,
+        )
+        self.world.unit_loans += lent
+        return peer_model.UnitGrant(
+            loan_id, units if lent else (), const.LOAN_S
+        )
 
 
 class FakeMesh(peer_mesh.PeerMesh):
--- a/tests/components/quota/test_ledger.py
+++ b/tests/components/quota/test_ledger.py
@@ -68,6 +68,37 @@
     assert not lent
 
 
+def test_borrowed_units_end_with_their_loan() -> None:
+    """The lender counts on them from the longest hold after the loan on."""
+    ledger, timer = make_ledger()
+    units = (model.UnitAmount("region:r", 2),)
+    ledger.borrow(units, loan_id="l", until_s=2.0)
+    assert not ledger.lend(
+        (model.UnitAmount("region:r", 5),),
+        loan_id="m",
+        bundle_number=0,
+        until_s=1.0,
+    )
+    for until_s, lent in ((2.1, False), (2.0, False), (1.9, True)):
+        assert lent is ledger.lend(
+            make_bundle(5), loan_id="n", bundle_number=1, until_s=until_s
+        )
+    held = ledger.try_hold(make_bundle(1)).unwrap()
+    assert ledger.try_hold(make_bundle(1)) == Failure("region:r")
+    # Paused: the first call after the loan's end comes before any timer.
+    timer.now_s = 2.0
+    ledger.settle("n", 1)
+    assert ledger.usable("region:r") == 4
+    assert isinstance(ledger.try_hold(make_bundle(3)), Success)
+    assert ledger.give_back("l")
+    ledger.borrow(units, loan_id="o", until_s=4.0)
+    assert isinstance(ledger.try_hold(make_bundle(1)), Success)
+    assert not ledger.give_back("o")
+    ledger.release(held)
+    assert ledger.give_back("o")
+    assert ledger.usable("region:r") == 4
+
+
 def test_lost_loan_costs_the_longest_hold() -> None:
     """A borrower's request may run until its deadline plus the margin."""
     ledger, timer = make_ledger()
--- a/tests/components/quota/test_seat_keeper.py
+++ b/tests/components/quota/test_seat_keeper.py
@@ -123,9 +123,31 @@
     # The check cannot bite unless hosts come near the limits.
     assert world.dispatches > 150
     assert world.loans > 10
+    assert world.unit_loans > 10
     assert world.peak[REGION] > 0.8
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_borrowed_bytes_keep_the_limit_of_a_link(seed: int) -> None:
+    """Each request needs more bytes than its host's own share."""
+
+    async def scenario(world: simulation.World) -> None:
+        rng = random.Random(seed)
+        world.bulk_bytes = 24_000
+        start_all(world)
+        await world.run(10.0)
+        for _ in range(30):
+            await disturb(world, rng)
+            for host in world.hosts.values():
+                host.demand = 1.0
+            await world.run(rng.choice([0.5, 3.0, 10.0]))
+
+    world = simulate(scenario, seed=seed)
+    assert world.dispatches > 10
+    assert world.unit_loans > 50
+    assert max(world.peak[key] for key in simulation.BULK_KEYS) >= 0.6
+
+
 def test_newcomer_gets_its_share_within_seconds() -> None:
     """Without a prompt re-plan it would wait for renewals after 300 s."""
 
