Refuse moving a backend server between regions in one change

Cause: a server's slots belong to the group of its region. After a move, the new region's hosts use them while requests of the former region still run there, for up to the longest hold, so the server could be overloaded.

Ruled out: holding the units of the new key back on each host, since a host that starts later does not know of the move.

Change: a change whose result has a server's name or address in another region than before is refused, also when its zone moves; the text says to remove it, wait until that is in force and 33 s longer, and add it again. Equal names were refused in the whole catalogue already; equal addresses are now also found in another spelling (IPv4-mapped, leading zeros in the port).

Conclusion: one command cannot move a server. Two commands in quick succession can; the text says why to wait, nothing enforces it.

--- a/src/samphirelug/components/catalogue/schema.py
+++ b/src/samphirelug/components/catalogue/schema.py
@@ -4,7 +4,9 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
+import ipaddress
 import itertools
+import math
 from typing import Any
 
 import orjson
@@ -91,7 +93,57 @@
 def new_problems(before: Entries, after: Entries) -> tuple[str, ...]:
     """Return the problems that a change to the catalogue would add."""
     known = set(problems(before))
-    return tuple(item for item in problems(after) if item not in known)
+    found = [item for item in problems(after) if item not in known]
+    return (*found, *_moves(before, after))
+
+
+def _moves(before: Entries, after: Entries) -> Iterator[str]:
+    """Find servers that one change takes from one region to another.
+
+    A request that runs under the former region's units does not count in
+    the units of the new region, so both together would overload the server.
+    """
+    wait_s = math.ceil(quota_const.LOAN_S + quota_const.REQUEST_HOLD_S)
+    former = {place: region for _, place, region in _places(before)}
+    for key, (field, value), region in _places(after):
+        known = former.get((field, value), region)
+        if known != region:
+            yield (
+                f"{key}: servers.{field}: {value!r} is in {known}; allowed:"
+                f" no move to {region} in one change. Remove the server,"
+                " wait until the change is in force at every entry host and"
+                f" {wait_s} s longer, then add it there"
+            )
+
+
+def _places(
+    entries: Entries,
+) -> Iterator[tuple[str, tuple[str, str], str]]:
+    """Return each server's entry, name or address, and region."""
+    regions = {
+        zone: entry["name"]
+        for entry in entries.values()
+        if entry["kind"] == "region"
+        for zone in entry["availability_zones"]
+    }
+    for key, entry in entries.items():
+        if entry["kind"] != "backend-service":
+            continue
+        for server in entry["servers"]:
+            region = regions.get(server["availability_zone"])
+            if region is not None:
+                yield key, ("name", server["name"]), region
+                yield key, ("address", _endpoint(server["address"])), region
+
+
+def _endpoint(address: str) -> str:
+    """Return an address in one form, so that equal ones compare equal."""
+    host, _, port = address.rpartition(":")
+    try:
+        parsed = ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return address
+    return f"{getattr(parsed, 'ipv4_mapped', None) or parsed}:{int(port)}"
 
 
 def _describe(
@@ -157,7 +209,7 @@
         servers = entry["servers"]
         yield from _repeated("servers.name", (it["name"] for it in servers))
         yield from _repeated(
-            "servers.address", (it["address"] for it in servers)
+            "servers.address", (_endpoint(it["address"]) for it in servers)
         )
         for place, server in enumerate(servers):
             port = int(server["address"].rpartition(":")[2])
@@ -247,7 +299,7 @@
                 )
             for field, value, taken in (
                 ("name", server["name"], names),
-                ("address", server["address"], addresses),
+                ("address", _endpoint(server["address"]), addresses),
             ):
                 # Within one entry the entry's own check has reported it.
                 if taken.setdefault(value, key) != key:
--- a/tests/components/catalogue/test_schema.py
+++ b/tests/components/catalogue/test_schema.py
@@ -1,5 +1,6 @@
 """Test what is refused in entries and between them."""
 
+import copy
 from typing import Any
 
 import pytest
@@ -115,6 +116,46 @@
         assert part in text
 
 
+def test_server_does_not_change_its_region() -> None:
+    """Guard against slots that count in two regions at the same time."""
+    entries = entries_of_small_view()
+    service = builders.make_service(
+        "filing", zones=[f"{name}-a" for name in ("tallinn", "tartu", "parnu")]
+    )
+    before = {**entries, "backend-service/filing": service}
+    moved = copy.deepcopy(before)
+    servers = moved["backend-service/filing"]["servers"]  # type: ignore
+    servers[0]["availability_zone"] = "tallinn-b"
+    assert schema.new_problems(before, moved) == ()
+    servers[0]["availability_zone"] = "tartu-b"
+    by_name, by_address = schema.new_problems(before, moved)
+    assert "'filing-tallinn-a-0' is in tallinn; allowed: no move" in by_name
+    assert "33 s longer, then add it there" in by_name
+    servers[0]["name"] = "renamed"
+    assert schema.new_problems(before, moved) == (by_address,)
+    # Both regions in one change, by way of their zones.
+    moved = copy.deepcopy(before)
+    for name, zone in (("tallinn", "tartu-a"), ("tartu", "tallinn-a")):
+        region = moved[f"region/{name}"]
+        region["availability_zones"] = [zone]  # type: ignore
+    assert len(schema.new_problems(before, moved)) == 8
+
+
+def test_equal_addresses_are_found_in_any_form() -> None:
+    """Guard against one server that is used under two names."""
+    service = builders.make_service("s", zones=["tartu-a"], per_zone=2)
+    service["servers"][1]["address"] = "[::ffff:7f00:1]:09000"
+    text = schema.read_entry(service, allow_unknown=False).failure()
+    assert "servers.address: has '127.0.0.1:9000' 2 times" in text
+    other = builders.make_service("t", zones=["tartu-a"], per_zone=1)
+    other["servers"][0]["address"] = "[::ffff:7f00:1]:09000"
+    found = schema.new_problems(
+        entries_of_small_view(),
+        {**entries_of_small_view(), "backend-service/t": other},
+    )
+    assert "servers.address: '127.0.0.1:9000' is also in" in found[0]
+
+
 def test_work_must_fit_through_its_links() -> None:
     """Guard against work that no amount of waiting can send."""
     entries = entries_of_small_view()
