Cap an allotment before admission hears of free units

Cause: when the seat keeper read its table while a write that lowers its units was pending, set_seat removed the cap and told admission of free units before the keeper set the cap again. Admission dispatches in that step, so units whose return was already on its way came into use.

Ruled out: dropping the notification, since units may be free indeed.

Change: set_seat takes the cap that holds from then on. The simulation's hosts now dispatch from within the ledger's notification, as admission does.

Conclusion: found by rereading; a limit could be exceeded for as long as a request lasts.

--- a/src/samphirelug/components/quota/ledger.py
+++ b/src/samphirelug/components/quota/ledger.py
@@ -143,15 +143,17 @@
         units: Mapping[str, int],
         limits: Mapping[str, int],
         valid_until_s: float,
+        cap: Mapping[str, int] | None = None,
     ) -> None:
-        """Use an allotment until a time, and end the cap on the group.
+        """Use an allotment until a time, under a cap if there is one.
 
-        The limits are those that the units were allotted under.
+        The limits are those that the units were allotted under. The cap
+        replaces the former one before anyone hears of free units.
         """
         seat = self._seat(group)
         seat.units = units
         seat.limits = limits
-        seat.cap = None
+        seat.cap = cap
         seat.valid_until_s = valid_until_s
         self._refresh(seat)
         self._notify()
--- a/src/samphirelug/components/quota/seat_keeper.py
+++ b/src/samphirelug/components/quota/seat_keeper.py
@@ -369,10 +369,12 @@
             }
         state.pending_on = state.revision
         state.pending_units = dict(units)
-        self._cap(state)
+        cap = self._cap(state)
+        if cap is not None:
+            self.ledger.cap(group=state.group, units=cap)
 
-    def _cap(self, state: GroupState) -> None:
-        """Keep units out of use that are being given back.
+    def _cap(self, state: GroupState) -> Mapping[str, int] | None:
+        """Return what may be used while units are being given back.
 
         Units above the fair share that are in use run out first. Without
         the cap a busy host would use them again and never give them back.
@@ -384,12 +386,11 @@
             caps.append(state.pending_units)
         if self._weigh(state).excess:
             caps.append(state.fair)
-        if caps:
-            units = {
-                key: min(cap.get(key, 0) for cap in caps)
-                for key in state.limits
-            }
-            self.ledger.cap(group=state.group, units=units)
+        if not caps:
+            return None
+        return {
+            key: min(cap.get(key, 0) for cap in caps) for key in state.limits
+        }
 
     def _adopt(
         self, state: GroupState, table: model.SeatTable, revision: int
@@ -419,8 +420,8 @@
             units=seat.units,
             limits=seat.limits,
             valid_until_s=sent_s + self.settings.lease_s,
+            cap=self._cap(state),
         )
-        self._cap(state)
 
     def _look_again(self, state: GroupState, now: float) -> None:
         """Look soon while units are missing or in surplus, then rarely."""
--- a/tests/components/quota/simulation.py
+++ b/tests/components/quota/simulation.py
@@ -200,6 +200,7 @@
         self.paused = False
         self.dead = False
         self.cut_off = False
+        self.loading = False
         self.demand = 0.5
         self.orphans = 0.1
         self.timer = timer_helper.ManualTimerService(
@@ -207,6 +208,8 @@
         )
         self.catalogue = CatalogueHolder(world.view)
         self.ledger = quota_ledger.QuotaLedger(timer=self.timer)
+        # As admission does, units are used as soon as they may be free.
+        self.ledger.on_free.append(self.load_in_step)
         self.mesh = FakeMesh(self)
         identity = builders.make_host(name, zone=zone)
         identity = identity._replace(
@@ -265,7 +268,19 @@
         # Work may be dispatched before any timer callback has run.
         self.load()
 
+    def load_in_step(self) -> None:
+        """Dispatch from within a step of the ledger, but not in itself."""
+        if self.loading or self.paused or self.dead:
+            return
+        self.load()
+
     def load(self) -> None:
+        """Dispatch what the demand asks for."""
+        self.loading = True
+        self.load_units()
+        self.loading = False
+
+    def load_units(self) -> None:
         """Try to dispatch a few requests, with own units or borrowed."""
         if self.world.bulk_bytes:
             self.load_bulk()
--- a/tests/components/quota/test_seat_keeper.py
+++ b/tests/components/quota/test_seat_keeper.py
@@ -297,10 +297,17 @@
         host.keeper.hosts_of = lambda _: frozenset(("eh1", "eh2"))
         await world.run(1.5)
         host.keeper.hosts_of = lambda _: frozenset(("eh1",))
+        # Admission uses free units in the step in which it hears of them.
+        heard: list[int] = []
+        host.ledger.on_free.append(
+            lambda: heard.append(host.ledger.usable(REGION))
+        )
         for _ in range(8):
             await world.run(0.25)
             assert stored_units(world) == {"eh1": 7}
             assert shares(world)["eh1"] in (3, 4)
+        assert heard
+        assert max(heard) <= 4
         world.write_delay_s = 0.0
         await world.run(20.0)
         assert shares(world) == {"eh1": 7}
