Return units in use at a planned stop after the longest hold

Cause: units that were still lent, orphaned or lingering 5 s after the start of a planned stop came free only with the lease and the longest hold.

Ruled out: listing in the table when each unit comes free (more state in an object of bounded size, for a gain of seconds); a mark without a time (a reader with another catalogue would compute a shorter hold).

Change: a stopping holder writes free_after_s, its longest hold, with its seat. Its cap is 0 since before that plan, so nothing is dispatched or lent later under the seat, also when the process is paused and wakes. Others wait that long, and 1 % for clock drift, from when they first read the entry, and look again at that time. Readers without the field wait as before. The simulated planned stop no longer ends the load first.

--- a/src/samphirelug/components/quota/model.py
+++ b/src/samphirelug/components/quota/model.py
@@ -43,6 +43,9 @@
     # Limit of each key that the units were allotted under. A holder that
     # has not heard of a later limit uses its units under this one.
     limits: Mapping[str, int]
+    # Set by a holder that is stopping: it dispatches nothing more under the
+    # seat, and all units are free this long after the seat was written.
+    free_after_s: float | None = None
 
 
 class SeatTable(NamedTuple):
--- a/src/samphirelug/components/quota/seat_keeper.py
+++ b/src/samphirelug/components/quota/seat_keeper.py
@@ -297,6 +297,9 @@
             },
             expired=self._expired(state, now),
             leaving=state.leaving,
+            # The cap has been 0 since before this plan, so no request and
+            # no loan under this seat starts later.
+            free_after_s=state.hold_s if self.stopping else None,
         )
 
     def _may_plan(
@@ -434,6 +437,10 @@
             wait_s = self._spread_s(state) * 2.0 ** min(doublings, 30)
             wait_s *= self.rng.uniform(0.5, 1.0)
             state.next_look_s = now + min(wait_s, renew_s)
+            # The units of a host that has stopped come free at a known time.
+            soon_s = self.rng.random() * self._spread_s(state)
+            free_at_s = max(now, state.tracker.next_free_s()) + soon_s
+            state.next_look_s = min(state.next_look_s, free_at_s)
             return
         state.looks = 0
         state.next_look_s = now + renew_s
--- a/src/samphirelug/components/quota/seats.py
+++ b/src/samphirelug/components/quota/seats.py
@@ -8,9 +8,11 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+import math
 from typing import Annotated
 from typing import Any
 from typing import NamedTuple
+from typing import NotRequired
 
 import pydantic
 from returns.result import Failure
@@ -34,6 +36,7 @@
     # Index into the table's limits.
     limits: Amount
     units: list[Amount]
+    free_after_s: NotRequired[Annotated[float, pydantic.Field(ge=0.0)]]
 
 
 class SeatTableValue(TypedDict):
@@ -88,6 +91,8 @@
             "limits": limits.setdefault(row, len(limits)),
             "units": [seat.units.get(key, 0) for key in keys],
         }
+        if seat.free_after_s is not None:
+            seats[host]["free_after_s"] = seat.free_after_s
     return {
         "keys": keys,
         "limits": [list(row) for row in limits],
@@ -123,6 +128,7 @@
             renewal=seat["renewal"],
             units={key: units for key, units, _ in rows if units},
             limits={key: limit for key, units, limit in rows if units},
+            free_after_s=seat.get("free_after_s"),
         )
     return Success(model.SeatTable(group, seats))
 
@@ -190,6 +196,7 @@
     floors: Mapping[str, int],
     expired: frozenset[str],
     leaving: bool,
+    free_after_s: float | None = None,
 ) -> SeatPlan:
     """Plan the host's own seat, without the expired seats of others.
 
@@ -219,14 +226,20 @@
     seat: model.Seat | None = None
     if units or not leaving:
         seat = model.Seat(
-            host, incarnation, address, renewal, units, unit_limits
+            host,
+            incarnation,
+            address,
+            renewal,
+            units,
+            unit_limits,
+            free_after_s,
         )
         others[host] = seat
     same = (
         seat is not None
         and mine is not None
-        and (seat.incarnation, seat.units, seat.limits)
-        == (mine.incarnation, mine.units, mine.limits)
+        and seat._replace(renewal=0, address="")
+        == mine._replace(renewal=0, address="")
     )
     return SeatPlan(
         table=model.SeatTable(table.group, others),
@@ -270,6 +283,7 @@
     def __init__(self) -> None:
         # Host to incarnation, renewal counter and time first seen.
         self.seen: dict[str, tuple[str, int, float]] = {}
+        self.free_after_s: dict[str, float] = {}
 
     def observe(self, table: model.SeatTable, *, now: float) -> None:
         """Record a table that was read from the store before now."""
@@ -281,11 +295,33 @@
             else:
                 seen[host] = (seat.incarnation, seat.renewal, now)
         self.seen = seen
+        self.free_after_s = {
+            host: seat.free_after_s / (1.0 - const.CLOCK_DRIFT)
+            for host, seat in table.seats.items()
+            if seat.free_after_s is not None
+        }
 
     def expired(self, *, now: float, wait_s: float) -> frozenset[str]:
-        """Return the hosts whose counter stood still for wait_s."""
+        """Return the hosts whose units nobody can still be using.
+
+        Their counter stood still for wait_s, or for the time that a holder
+        that has stopped gave for its units.
+        """
         return frozenset(
             host
             for host, (_, _, since_s) in self.seen.items()
-            if now - since_s >= wait_s
+            if now - since_s >= min(wait_s, self._free_after(host))
         )
+
+    def next_free_s(self) -> float:
+        """Return when the units of a stopped holder come free next."""
+        return min(
+            (
+                self.seen[host][2] + wait_s
+                for host, wait_s in self.free_after_s.items()
+            ),
+            default=math.inf,
+        )
+
+    def _free_after(self, host: str) -> float:
+        return self.free_after_s.get(host, math.inf)
--- a/tests/components/quota/test_seat_keeper.py
+++ b/tests/components/quota/test_seat_keeper.py
@@ -63,8 +63,7 @@
 
 
 async def stop(world: simulation.World, host: simulation.Host) -> None:
-    """Stop a host as planned, after its requests have ended."""
-    host.demand = 0.0
+    """Stop a host as planned, with what is in use by then."""
     await world.run(3.0)
     if host.paused or host.dead:
         return
@@ -198,6 +197,29 @@
     simulate(scenario, settings=model.SeatSettings())
 
 
+def test_units_in_use_at_a_stop_return_after_the_longest_hold() -> None:
+    """Waiting for the lease would keep them out of use for 900 s more."""
+
+    async def scenario(world: simulation.World) -> None:
+        start_all(world)
+        for host in world.hosts.values():
+            host.demand = host.orphans = 1.0
+        await world.run(10.0)
+        host = world.hosts["eh1"]
+        host.paused = False
+        task = asyncio.get_running_loop().create_task(host.keeper.give_up())
+        await world.run(8.0)
+        assert task.done()
+        host.kill()
+        assert stored_units(world)["eh1"] > 0
+        await world.run(30.0)
+        assert "eh1" in stored_units(world)
+        await world.run(12.0)
+        assert "eh1" not in stored_units(world)
+
+    simulate(scenario, settings=model.SeatSettings())
+
+
 def test_restarted_host_takes_over_its_seat_after_the_longest_hold() -> None:
     """Requests of the old process still run, and its lease is long."""
 
