--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -71,6 +71,7 @@
     ) -> None:
         self.places = {place.name: place for place in places}
         # The command that starts samphirelug.
+        self.is_binary = program is not None
         self.program = program or [sys.executable, "-m", "samphirelug"]
         self.host_flags = host_flags or []
         self.timer = timer.LoopTimerService()
@@ -78,6 +79,7 @@
         self.directory = tempfile.TemporaryDirectory(prefix="samphirelug-")
         self.store_port = free_ports(1)[0]
         self.ports = {name: self._host_ports() for name in self.places}
+        self.secrets: dict[str, str] = {}
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.server_ports: dict[str, int] = {}
 
@@ -156,6 +158,12 @@
             wait_ready=True,
         )
 
+    def add_host(self, place: HostPlace, *, secret: str = SECRET) -> None:
+        """Add an entry host that the others are not told of."""
+        self.places[place.name] = place
+        self.ports[place.name] = self._host_ports()
+        self.secrets[place.name] = secret
+
     async def start_host(self, name: str, *, wait: bool = True) -> None:
         """Start an entry host and wait until it is ready."""
         place = self.places[name]
@@ -178,7 +186,7 @@
             "operator-port": ports.operator,
             "store-url": self.store_url,
             "cluster": "demo",
-            "cluster-secret": SECRET,
+            "cluster-secret": self.secrets.get(name, SECRET),
         }
         words = [w for k, v in flags.items() for w in (f"--{k}", str(v))]
         for seed in seeds:
@@ -229,10 +237,28 @@
         response = await self.client.fetch(url)
         return dict(json.loads(response.body))
 
+    async def get_text(self, url: str) -> str:
+        """Return the text at an address."""
+        response = await self.client.fetch(url)
+        return response.body.decode()
+
+    async def post_json(self, url: str, body: dict[str, Any]) -> None:
+        """Post a JSON object to an address."""
+        await self.client.fetch(url, method="POST", body=json.dumps(body))
+
     async def put_json(self, url: str, body: dict[str, Any]) -> None:
         """Send a JSON object to an address."""
         await self.client.fetch(url, method="PUT", body=json.dumps(body))
 
+    async def put_object(self, key: str, value: dict[str, Any]) -> None:
+        """Create an object in the store."""
+        await self.client.fetch(
+            f"{self.store_url}/v1/objects/{key}",
+            method="PUT",
+            headers={"If-Match": "0"},
+            body=json.dumps(value),
+        )
+
     async def set_faults(self, server: str, **faults: object) -> None:
         """Set the faults of one backend server; others are cleared."""
         port = self.server_ports[server]
@@ -285,5 +311,8 @@
         return HostPorts((ports[0], ports[1], ports[2]), ports[3], ports[4])
 
     def _environment(self) -> dict[str, str]:
-        root = str(pathlib.Path(__file__).parent.parent)
-        return {**os.environ, "PYTHONPATH": root, "PYTHONUNBUFFERED": "1"}
+        root = pathlib.Path(__file__).parent.parent
+        # A built binary has to run its own code and not the checkout's.
+        paths = [root] if self.is_binary else [root, root / "src"]
+        path = os.pathsep.join(str(each) for each in paths)
+        return {**os.environ, "PYTHONPATH": path, "PYTHONUNBUFFERED": "1"}
--- a/tests/system/harness.py
+++ b/tests/system/harness.py
@@ -84,7 +84,7 @@
         body = f"body of {work_id}"
         found = await client.look_up(work)
         if found.status != 200:
-            self.calls.append(checks.Call(work_id, body, found))
+            self.calls.append(checks.Call(work_id, body, found, client.place))
             return
         await TIMER.sleep(self.think_s)
         result = await client.call(
@@ -92,7 +92,7 @@
         )
         if found.body.get("run_token"):
             result = await self._settle(client, found.body, result, work_id)
-        self.calls.append(checks.Call(work_id, body, result))
+        self.calls.append(checks.Call(work_id, body, result, client.place))
 
     async def _settle(
         self,
