Keep the position while parts of a delta arrive; pass rejections on

Cause: a part of a large delta raised the receiver's position to its last revision, although a version of an entry that was changed again later was in no part yet. And a host that is fed by peers did not hear of entries that were rejected, so it reported them as in force.

Ruled out: new fields in CatalogueDelta, which is nested and would close the connections of earlier hosts during an upgrade; parts that claim nothing (earlier hosts would ask for the first part for ever).

Change: CatalogueReply has `partial` and `rejected`, which earlier hosts drop. A host collects the parts from one peer and raises its position with the last one; if the peer dies in between, it starts again. A large repair is merged without a claim.

--- a/src/samphirelug/components/catalogue/model.py
+++ b/src/samphirelug/components/catalogue/model.py
@@ -120,6 +120,14 @@
     entry: RegionEntry | LinkEntry | BackendServiceEntry | WorkEntry | None
 
 
+class Rejection(NamedTuple):
+    """Report an entry whose latest version in the store is not valid."""
+
+    key: str
+    revision: int
+    reason: str
+
+
 class CatalogueDelta(NamedTuple):
     """Hold every entry whose revision is in (since, revision]."""
 
--- a/src/samphirelug/components/catalogue/state.py
+++ b/src/samphirelug/components/catalogue/state.py
@@ -13,6 +13,9 @@
 from samphirelug.components.catalogue import view as catalogue_view
 from samphirelug.components.store import model as store_model
 
+# Bound what a reply holds besides its delta.
+MAX_REJECTIONS_SENT = 100
+MAX_REASON_SENT = 500
 # A reply must stay below the limit of a message between hosts, also with one
 # entry of the largest size on top.
 MAX_DELTA_BYTES = schema.MAX_ENTRY_BYTES
@@ -56,11 +59,30 @@
             return False
         return self._merge(delta.objects, delta.revision)
 
+    def apply_part(self, delta: model.CatalogueDelta) -> bool:
+        """Merge a part of a delta, which leaves the position as it is."""
+        return self._merge(delta.objects, 0)
+
+    def apply_rejections(self, rejected: Iterable[model.Rejection]) -> None:
+        """Report what a peer could not apply, unless it is old news."""
+        for item in rejected:
+            if item.revision > self._revision_seen(item.key):
+                self._reject(item.key, item.revision, item.reason)
+
+    def rejections_since(self, since: int) -> tuple[model.Rejection, ...]:
+        """Return the first entries rejected after a revision."""
+        found = [
+            model.Rejection(key, revision, reason[:MAX_REASON_SENT])
+            for key, reason in self.rejected.items()
+            if (revision := self._rejected_revisions[key]) > since
+        ]
+        return tuple(found[:MAX_REJECTIONS_SENT])
+
     def delta_since(self, since: int) -> model.CatalogueDelta:
         """Return what changed after a revision, oldest first.
 
-        A delta above MAX_DELTA_BYTES ends early, with the revision that it
-        is complete up to; the receiver asks again from there. Changes beyond
+        A delta above MAX_DELTA_BYTES ends early, with the revision that the
+        receiver asks again from: a part for apply_part. Changes beyond
         the position are included, since each stands for an older version
         that the receiver would otherwise lack.
         """
--- a/src/samphirelug/components/catalogue/sync.py
+++ b/src/samphirelug/components/catalogue/sync.py
@@ -278,19 +278,29 @@
         name = peer.heartbeat.host.name
         before = self.state.position
         empty = False
-        answer = await self.mesh.request(
-            name,
-            peers_model.CatalogueRequest(since=since),
-            timeout_s=PULL_TIMEOUT_S,
-        )
-        reply = answer.unwrap() if isinstance(answer, Success) else None
-        if isinstance(reply, peers_model.CatalogueReply):
+        reply = await self._request(name, since)
+        parts_from = since
+        while reply is not None and reply.partial:
+            if reply.delta.revision <= parts_from:
+                reply = None
+                break
+            self.state.apply_part(reply.delta)
+            self.heard_at_s = self.timer.monotonic()
+            parts_from = reply.delta.revision
+            await self.timer.sleep(PULL_INTERVAL_S)
+            reply = await self._request(name, parts_from)
+        if reply is not None:
+            # The parts before the last one came since the first request.
+            delta = reply.delta
+            if delta.since == parts_from:
+                reply = reply._replace(delta=delta._replace(since=since))
             if not before and reply.delta.revision:
                 self.complete_at = max(
                     self.complete_at, peer.heartbeat.catalogue_revision
                 )
             self.state.apply_delta(reply.delta)
-            empty = not reply.delta.objects
+            self.state.apply_rejections(reply.rejected)
+            empty = not reply.delta.objects and parts_from == since
         if self.state.position > before:
             self.heard_at_s = self.timer.monotonic()
             self._after_change()
@@ -304,6 +314,19 @@
         else:
             self._after_change()
 
+    async def _request(
+        self, name: str, since: int
+    ) -> peers_model.CatalogueReply | None:
+        answer = await self.mesh.request(
+            name,
+            peers_model.CatalogueRequest(since=since),
+            timeout_s=PULL_TIMEOUT_S,
+        )
+        reply = answer.value_or(None)
+        if isinstance(reply, peers_model.CatalogueReply):
+            return reply
+        return None
+
     async def _recheck_peer(self) -> None:
         peers = [peer for peer in self.mesh.live_peers() if peer.connected]
         if self.ready and peers:
@@ -323,18 +346,28 @@
             return peers_model.CatalogueReply(
                 model.CatalogueDelta(message.since, 0, ())
             )
-        return peers_model.CatalogueReply(
-            self.state.delta_since(message.since)
-        )
+        return self._reply(message.since)
 
     async def _receive(
         self, _sender: str, message: peers_model.Message
     ) -> peers_model.Message | None:
         if isinstance(message, peers_model.CatalogueReply):
-            self.state.apply_delta(message.delta)
+            if message.partial:
+                self.state.apply_part(message.delta)
+            else:
+                self.state.apply_delta(message.delta)
+                self.state.apply_rejections(message.rejected)
             self._after_change()
         return None
 
+    def _reply(self, since: int) -> peers_model.CatalogueReply:
+        delta = self.state.delta_since(since)
+        if delta.revision < self.state.position:
+            return peers_model.CatalogueReply(delta, partial=True)
+        return peers_model.CatalogueReply(
+            delta, rejected=self.state.rejections_since(since)
+        )
+
     # Both
 
     def _after_change(self) -> None:
@@ -390,8 +423,12 @@
             "catalogue changes since revision %d had been left out",
             delta.since,
         )
-        self.mesh.broadcast(peers_model.CatalogueReply(delta))
-        # A large repair comes in parts.
-        while delta.revision < self.state.position:
-            delta = self.state.delta_since(delta.revision)
-            self.mesh.broadcast(peers_model.CatalogueReply(delta))
+        reply = self._reply(delta.since)
+        self.mesh.broadcast(reply)
+        # A large repair comes in parts. The last part alone does not cover
+        # the others, which a receiver may have missed.
+        while reply.partial:
+            reply = self._reply(reply.delta.revision)
+            self.mesh.broadcast(
+                peers_model.CatalogueReply(reply.delta, partial=True)
+            )
--- a/src/samphirelug/components/peers/model.py
+++ b/src/samphirelug/components/peers/model.py
@@ -96,6 +96,10 @@
     """Answer a CatalogueRequest."""
 
     delta: catalogue_model.CatalogueDelta
+    # The sender has more; an entry changed again since may lack its version
+    # up to delta.revision, so that is only where to ask from next.
+    partial: bool = False
+    rejected: tuple[catalogue_model.Rejection, ...] = ()
 
 
 class GrantRequest(NamedTuple):
