--- a/src/samphirelug/components/backend/model.py
+++ b/src/samphirelug/components/backend/model.py
@@ -45,6 +45,8 @@
     RESET = "reset"
     INCOMPLETE = "incomplete"
     TOO_LARGE = "too_large"
+    # The caller left, which says nothing about the server.
+    CANCELLED = "cancelled"
 
     @property
     def certainly_not_run(self) -> bool:
--- a/src/samphirelug/components/backend/ports.py
+++ b/src/samphirelug/components/backend/ports.py
@@ -19,7 +19,7 @@
 
 
 class Health(Protocol):
-    """Take observations of backend servers, by server name."""
+    """Take observations of attempts, by server name."""
 
     def started(self, server: str) -> None:
         """Note that an attempt has started."""
@@ -31,7 +31,17 @@
         latency_s: float,
         failure: model.FailureKind | None,
     ) -> None:
-        """Note how an attempt has ended."""
+        """Note how an attempt has ended; None means with an answer."""
+
+
+class ProbedHealth(Protocol):
+    """Take observations of health probes, by server name."""
+
+    def needs_probe(self) -> tuple[str, ...]:
+        """Return the servers that a good probe would bring back."""
+
+    def probe_failed(self, server: str, *, refused: bool) -> None:
+        """Note a failed probe; refused means that it was not sent."""
 
     def apply_report(self, report: model.HealthReport) -> None:
         """Take a server's own report."""
--- a/src/samphirelug/components/execution/executor.py
+++ b/src/samphirelug/components/execution/executor.py
@@ -395,8 +395,7 @@
                 run.dispatched = False
             return sent
         except asyncio.CancelledError:
-            # The caller left; that says nothing about the server.
-            failure = None
+            failure = backend_model.FailureKind.CANCELLED
             raise
         finally:
             self._finish(
--- a/tests/components/execution/test_executor.py
+++ b/tests/components/execution/test_executor.py
@@ -202,6 +202,8 @@
     await world.settle()
     assert world.attempts[0].result.cancelled()
     assert world.hosts["eh1"].admission.ended == [PermitEnd.ORPHANED]
+    # Not None, which stands for an answer, and a fast one.
+    assert world.hosts["eh1"].health.failures == [FailureKind.CANCELLED]
 
 
 async def loop_end_is_unknown(world: world_module.World) -> None:
--- a/tests/components/steering/test_health.py
+++ b/tests/components/steering/test_health.py
@@ -99,3 +99,13 @@
     timer.advance(0.6)
     health.apply_report(report("a"))
     assert not health.is_usable("s")
+
+
+def test_cancelled_attempt_is_no_fast_success() -> None:
+    """Guards against callers that leave and make a bad server look good."""
+    _, health = make()
+    health.ended("s", latency_s=5.0, failure=Kind.TIMEOUT)
+    health.ended("s", latency_s=5.0, failure=Kind.TIMEOUT)
+    health.ended("s", latency_s=0.001, failure=Kind.CANCELLED)
+    assert health.state("s").latency_s == 5.0
+    assert health.state("s").failures == 2
