Test that a stale read of a seat table is refused

Cause: the store's stand-in can answer with an older revision, and no test used it for seat tables.

Ruled out: nothing; the keeper already refuses such a read.

Change: a test in which reads are stale by 1, 3, 6 and all revisions while the keepers look at their tables. Shares must stay as they are throughout.

Conclusion: no fault found.

--- a/tests/components/quota/test_seat_keeper.py
+++ b/tests/components/quota/test_seat_keeper.py
@@ -9,6 +9,7 @@
 
 from samphirelug.components.quota import model
 from samphirelug.components.quota import seats
+from standins import store as store_standin
 from tests.components.quota import simulation
 
 ZONES = {
@@ -337,6 +338,48 @@
     simulate(scenario)
 
 
+def test_stale_read_of_a_table_changes_nothing() -> None:
+    """An old table holds units that were given back, and no valid seat."""
+
+    async def scenario(world: simulation.World) -> None:
+        core = store_standin.StoreCore()
+
+        def start(name: str) -> simulation.Host:
+            host = world.start(name, ZONES[name])
+            host.demand = 0.0
+            host.keeper.store = store_standin.FakeObjectStore(
+                core=core, timer=host.timer
+            )
+            return host
+
+        first = start("eh1")
+        await world.run(10.0)
+        assert shares(world) == {"eh1": 7}
+        start("eh2")
+        await world.run(10.0)
+        before = shares(world)
+        assert sorted(before.values()) == [3, 4]
+        heard: list[int] = []
+        first.ledger.on_free.append(
+            lambda: heard.append(first.ledger.usable(REGION))
+        )
+        for stale_by in (1, 3, 6, core.revision):
+            core.faults.stale_by = stale_by
+            gets = core.calls["get"]
+            for host in world.hosts.values():
+                for state in host.keeper.groups.values():
+                    state.next_look_s = 0.0
+            await world.run(1.5)
+            assert core.calls["get"] > gets
+            assert shares(world) == before
+            assert set(heard) <= {before["eh1"]}
+        core.faults.stale_by = 0
+        await world.run(30.0)
+        assert shares(world) == before
+
+    simulate(scenario)
+
+
 def test_region_without_entry_hosts_is_used_by_the_nearest() -> None:
     """Its backend servers would be unreachable otherwise."""
 
