Allow for clocks that differ by 1 % in holds, windows and leases

Cause, found by rereading: units of a shift cap or a link lingered for the window on the entry host's own clock. A lender took its units back by its own clock while the borrower's request may last 1 % longer.

Ruled out: a larger fixed margin, which would delay units at short leases.

Figures: with a lease of 3,000 s a seat was taken before 3,055 s after the kill and a slow holder may use it until about 3,068 s; now it is kept.

The simulation itself still runs all clocks at one rate.

--- a/src/samphirelug/components/quota/limits.py
+++ b/src/samphirelug/components/quota/limits.py
@@ -61,7 +61,9 @@
         group = region_group(region)
         cap = entry["shift_cap"]
         add(region_key(region), group, entry["max_in_flight"])
-        add(shift_key(region), group, cap["requests"], cap["interval_s"])
+        # Longer, since a window on a slower clock must not hold more either.
+        linger_s = cap["interval_s"] * (1.0 + const.CLOCK_DRIFT)
+        add(shift_key(region), group, cap["requests"], linger_s)
     for server in view.servers.values():
         group = region_group(server.zone.region)
         add(server_key(server.name), group, server.slots)
--- a/src/samphirelug/components/quota/model.py
+++ b/src/samphirelug/components/quota/model.py
@@ -60,7 +60,7 @@
 
     lease_s: float = 900.0
     renew_s: float = 300.0
-    # Covers 1 % difference between clocks over the lease.
+    # Least time on top of the lease; 1 % of a longer lease for clock drift.
     margin_s: float = 10.0
     # How often changes of limits and hosts are looked for.
     tick_s: float = 0.5
--- a/src/samphirelug/components/quota/seat_keeper.py
+++ b/src/samphirelug/components/quota/seat_keeper.py
@@ -12,6 +12,7 @@
 from returns.result import Success
 
 from samphirelug.components.catalogue import view as catalogue_view
+from samphirelug.components.quota import const
 from samphirelug.components.quota import ledger as quota_ledger
 from samphirelug.components.quota import limits as quota_limits
 from samphirelug.components.quota import model
@@ -315,11 +316,11 @@
 
     def _expired(self, state: GroupState, now: float) -> frozenset[str]:
         """Return the seats whose units nobody can still be using."""
+        held_s = self.settings.lease_s + state.hold_s
+        # The holder's clock may run slower than this one's.
+        drift_s = held_s * const.CLOCK_DRIFT / (1.0 - const.CLOCK_DRIFT)
         return state.tracker.expired(
-            now=now,
-            wait_s=self.settings.lease_s
-            + state.hold_s
-            + self.settings.margin_s,
+            now=now, wait_s=held_s + max(self.settings.margin_s, drift_s)
         )
 
     async def _read(self, state: GroupState) -> bool:
--- a/tests/components/quota/test_seat_keeper.py
+++ b/tests/components/quota/test_seat_keeper.py
@@ -270,6 +270,23 @@
     simulate(scenario)
 
 
+def test_a_long_lease_allows_for_clocks_that_differ() -> None:
+    """A holder whose clock is 1 % slow uses its units for 30 s more."""
+
+    async def scenario(world: simulation.World) -> None:
+        for name in ("eh1", "eh2"):
+            world.start(name, ZONES[name]).demand = 0.0
+        await world.run(10.0)
+        world.hosts["eh1"].kill()
+        await world.run(3055.0)
+        assert "eh1" in stored_units(world)
+        await world.run(60.0)
+        assert "eh1" not in stored_units(world)
+
+    settings = simulation.SETTINGS._replace(lease_s=3000.0, renew_s=6.0)
+    simulate(scenario, settings=settings)
+
+
 def test_paused_holder_dispatches_nothing_after_its_lease() -> None:
     """Others have its units by the time it wakes up."""
 
