--- a/src/samphirelug/components/execution/executor.py
+++ b/src/samphirelug/components/execution/executor.py
@@ -146,9 +146,13 @@
 
         No token starts after this call.
         """
+        records = self.outcomes.records()
+        # Read after the book has closed, so that no token that the book
+        # forgot before closing counts as valid.
         messages = handover.messages_for(
             incarnation=self.host.incarnation,
-            records=self.outcomes.records(),
+            records=records,
+            clock_ms=self.outcomes.clock_ms(),
         )
         peers = [
             view.heartbeat.host.name
@@ -177,8 +181,7 @@
     ) -> peer_model.Message | None:
         """Keep the outcomes of a peer that is stopping."""
         assert isinstance(message, peer_model.OutcomeHandover)
-        clock_ms = self._clock_of(message.incarnation)
-        if not self.outcomes.accept_handover(message, clock_ms=clock_ms):
+        if not self.outcomes.accept_handover(message):
             LOG.warning("no room for the outcomes of %s", sender)
             return None
         return peer_model.Acknowledgement()
@@ -212,9 +215,10 @@
             return _refuse(
                 ResultCode.TOKEN_INVALID, "the token is for other work"
             )
+        digest = _digest(request)
         if content.incarnation != self.host.incarnation:
-            return await self._ask_named_host(token, content)
-        claim = self.outcomes.begin(content, _digest(request))
+            return await self._ask_named_host(token, content, digest)
+        claim = self.outcomes.begin(content, digest)
         if claim.outcome is not None:
             return claim.outcome
         if claim.standing is model.Standing.FIRST:
@@ -343,7 +347,13 @@
         name = permit.bundle.server
         server = self.catalogue.view.servers.get(name)
         if server is None:
-            self._finish(permit, request, certain=True, answer_bytes=0)
+            self._finish(
+                permit,
+                request,
+                certain=True,
+                answer_bytes=0,
+                traffic=backend_model.Traffic(),
+            )
             return Failure(
                 backend_model.BackendFailure(
                     backend_model.FailureKind.NOT_SENT,
@@ -351,6 +361,7 @@
                 )
             )
         query = f"?{request.query}" if request.query else ""
+        traffic = backend_model.Traffic()
         attempt = backend_model.BackendRequest(
             request_id=request.request_id,
             server=server,
@@ -360,6 +371,7 @@
             body=request.body,
             deadline_at_s=request.deadline_at_s,
             max_answer_bytes=work["max_answer_bytes"],
+            traffic=traffic,
         )
         started_s = self.timer.monotonic()
         run.dispatched = True
@@ -383,12 +395,15 @@
                 run.dispatched = False
             return sent
         except asyncio.CancelledError:
-            # The caller left; that says nothing about the server.
-            failure = None
+            failure = backend_model.FailureKind.CANCELLED
             raise
         finally:
             self._finish(
-                permit, request, certain=certain, answer_bytes=answer_bytes
+                permit,
+                request,
+                certain=certain,
+                answer_bytes=answer_bytes,
+                traffic=traffic,
             )
             latency_s = self.timer.monotonic() - started_s
             self.health.ended(name, latency_s=latency_s, failure=failure)
@@ -400,6 +415,7 @@
         *,
         certain: bool,
         answer_bytes: int,
+        traffic: backend_model.Traffic,
     ) -> None:
         ended = (
             admission_model.PermitEnd.COMPLETE
@@ -407,19 +423,27 @@
             else admission_model.PermitEnd.ORPHANED
         )
         self.admission.finish(
-            permit, ended=ended, request=request, answer_bytes=answer_bytes
+            permit,
+            ended=ended,
+            request=request,
+            answer_bytes=answer_bytes,
+            traffic=traffic,
         )
 
     async def _ask_named_host(
-        self, token: str, content: tokens.RunToken
+        self, token: str, content: tokens.RunToken, digest: bytes = b""
     ) -> model.Outcome:
-        """Return what the named host knows; never run the work here."""
+        """Return what the named host knows; never run the work here.
+
+        With a digest, the outcome is given only to the request that it
+        belongs to.
+        """
         record = self.outcomes.record_of_stopped(content)
         if (
             record.code != ResultCode.ENTRY_HOST_LOST
             or content.host == self.host.name
         ):
-            return outcomes_module.outcome_of(record)
+            return outcomes_module.outcome_of(record, digest)
         reply = await self.mesh.request(
             content.host,
             peer_model.OutcomeQuery(token),
@@ -431,10 +455,10 @@
                 isinstance(message, peer_model.OutcomeReply)
                 and message.record.token_id == content.token_id
             ):
-                return outcomes_module.outcome_of(message.record)
+                return outcomes_module.outcome_of(message.record, digest)
         # The host may have handed over its outcomes while being asked.
         record = self.outcomes.record_of_stopped(content)
-        return outcomes_module.outcome_of(record)
+        return outcomes_module.outcome_of(record, digest)
 
     async def _hand_over_to(
         self,
@@ -455,14 +479,6 @@
                 return False
         return True
 
-    def _clock_of(self, incarnation: str) -> int | None:
-        """Return a peer's clock in ms by its last heartbeat."""
-        for view in self.mesh.live_peers():
-            if view.heartbeat.host.incarnation == incarnation:
-                since_s = self.timer.monotonic() - view.heard_at_s
-                return view.heartbeat.clock_ms + int(since_s * 1000)
-        return None
-
 
 def _result_of(run: Run) -> model.Outcome:
     assert run.task is not None
--- a/src/samphirelug/components/quota/limits.py
+++ b/src/samphirelug/components/quota/limits.py
@@ -68,7 +68,9 @@
         group = region_group(region)
         cap = entry["shift_cap"]
         add(region_key(region), group, entry["max_in_flight"])
-        add(shift_key(region), group, cap["requests"], cap["interval_s"])
+        # Longer, since a window on a slower clock must not hold more either.
+        linger_s = cap["interval_s"] * (1.0 + const.CLOCK_DRIFT)
+        add(shift_key(region), group, cap["requests"], linger_s)
     for server in view.servers.values():
         group = region_group(server.zone.region)
         add(server_key(server.name), group, server.slots)
@@ -120,13 +122,10 @@
     if home_region != region:
         units.append(model.UnitAmount(shift_key(region), 1))
     if host_region != region:
-        if body_bytes:
-            units.append(
-                model.UnitAmount(link_key(host_region, region), body_bytes)
-            )
-        units.append(
-            model.UnitAmount(
-                link_key(region, host_region), work["max_answer_bytes"]
-            )
-        )
+        for key, size in (
+            (link_key(host_region, region), body_bytes),
+            (link_key(region, host_region), work["max_answer_bytes"]),
+        ):
+            amount = size + const.LINK_HEADER_BYTES
+            units.append(model.UnitAmount(key, amount))
     return model.Bundle(region, server.name, tuple(units))
--- a/src/samphirelug/components/quota/model.py
+++ b/src/samphirelug/components/quota/model.py
@@ -43,6 +43,9 @@
     # Limit of each key that the units were allotted under. A holder that
     # has not heard of a later limit uses its units under this one.
     limits: Mapping[str, int]
+    # Set by a holder that is stopping: it dispatches nothing more under the
+    # seat, and all units are free this long after the seat was written.
+    free_after_s: float | None = None
 
 
 class SeatTable(NamedTuple):
@@ -57,7 +60,7 @@
 
     lease_s: float = 900.0
     renew_s: float = 300.0
-    # Covers 1 % difference between clocks over the lease.
+    # Least time on top of the lease; 1 % of a longer lease for clock drift.
     margin_s: float = 10.0
     # How often changes of limits and hosts are looked for.
     tick_s: float = 0.5
