Answer repeats under a run token whatever the catalogue says

Cause: the header check let repeats pass when the host had no catalogue, but then refused them with UNKNOWN_WORK, which says "not run". The same held for a changed rank, a lowered body limit, and full body memory.

Change: the checks on the work entry refuse only requests that are certainly no repeats. A repeat goes on to the executor with the general limits on body and deadline. With full body memory it is refused with ENTRY_HOST_LOST, which says that the outcome is unknown.

Conclusion: a gateway refusal of a used token no longer says "not run". Header blocks that are malformed in themselves are still refused as before.

--- a/src/samphirelug/components/gateway/service.py
+++ b/src/samphirelug/components/gateway/service.py
@@ -9,6 +9,7 @@
 from returns.result import Success
 
 from samphirelug.components.admission import controller
+from samphirelug.components.catalogue import model as catalogue_model
 from samphirelug.components.catalogue import state as catalogue_state
 from samphirelug.components.execution import executor
 from samphirelug.components.execution import tokens
@@ -85,40 +86,17 @@
             return parsed
         headers = parsed.unwrap()
         work = self.catalogue.view.works.get(route.work)
-        if work is None:
-            return parsing.refuse(
-                result_codes.ResultCode.UNKNOWN_WORK,
-                f"no work entry {route.work[:63]!r}",
-            )
-        if work["work_class"].rank is not rank:
-            return parsing.refuse(
-                result_codes.ResultCode.WRONG_ENTRY_HOST,
-                f"{route.work} has rank {work['work_class'].rank.label}; "
-                f"this listener serves {rank.label}",
-            )
-        if not work["repeatable"] and headers.run_token is None:
-            return parsing.refuse(
-                result_codes.ResultCode.TOKEN_MISSING,
-                f"{route.work} may run only once: look it up and send the "
-                f"token in {const.HEADER_RUN_TOKEN}",
-            )
-        if (headers.content_length or 0) > work["max_body_bytes"]:
-            return parsing.refuse(
-                result_codes.ResultCode.BODY_TOO_LARGE,
-                f"body is {headers.content_length} bytes; allowed is "
-                f"{work['max_body_bytes']}",
-            )
+        refusal = self._work_refusal(rank, route, headers, work)
+        if refusal is not None and not self._is_repeat(fields):
+            return Failure(refusal)
         if self.buffered_bytes > gateway_const.MAX_BUFFERED_BYTES:
-            return Failure(
-                result_codes.Refusal(
-                    result_codes.ResultCode.OVERLOADED,
-                    "request bodies fill the memory set aside for them",
-                    gateway_const.DEFAULT_RETRY_AFTER_S,
-                )
-            )
-        deadline_s = min(
-            headers.deadline_s or work["deadline_s"], work["deadline_s"]
-        )
+            return Failure(self._memory_refusal(fields))
+        # A repeat is answered by its token, whatever the catalogue says now.
+        max_body_bytes = const.MAX_BODY_BYTES
+        if work is not None and refusal is None:
+            max_body_bytes = work["max_body_bytes"]
+        limit_s = work["deadline_s"] if work else const.MAX_REQUEST_S
+        deadline_s = min(headers.deadline_s or limit_s, limit_s)
         deadline_at_s = self.timer.monotonic() + deadline_s
         home_region = self._home_region(headers)
         refusal = self.admission.refusal_for(
@@ -134,7 +112,7 @@
                 route=route,
                 headers=headers,
                 method=method,
-                max_body_bytes=work["max_body_bytes"],
+                max_body_bytes=max_body_bytes,
                 deadline_at_s=deadline_at_s,
                 home_region=home_region,
             )
@@ -183,6 +161,52 @@
         place = route.place or self.host.zone.name
         return self.lookup.answer(work=route.work, place=place)
 
+    def _work_refusal(
+        self,
+        rank: core.Rank,
+        route: model.RunRoute,
+        headers: model.RunHeaders,
+        work: catalogue_model.WorkEntry | None,
+    ) -> result_codes.Refusal | None:
+        """Return why the work entry does not allow the request, if so."""
+        if work is None:
+            return result_codes.Refusal(
+                result_codes.ResultCode.UNKNOWN_WORK,
+                f"no work entry {route.work[:63]!r}",
+            )
+        if work["work_class"].rank is not rank:
+            return result_codes.Refusal(
+                result_codes.ResultCode.WRONG_ENTRY_HOST,
+                f"{route.work} has rank {work['work_class'].rank.label}; "
+                f"this listener serves {rank.label}",
+            )
+        if not work["repeatable"] and headers.run_token is None:
+            return result_codes.Refusal(
+                result_codes.ResultCode.TOKEN_MISSING,
+                f"{route.work} may run only once: look it up and send the "
+                f"token in {const.HEADER_RUN_TOKEN}",
+            )
+        if (headers.content_length or 0) > work["max_body_bytes"]:
+            return result_codes.Refusal(
+                result_codes.ResultCode.BODY_TOO_LARGE,
+                f"body is {headers.content_length} bytes; allowed is "
+                f"{work['max_body_bytes']}",
+            )
+        return None
+
+    def _memory_refusal(
+        self, fields: Mapping[str, str]
+    ) -> result_codes.Refusal:
+        """Refuse a body; a repeat may have been run, so its code differs."""
+        code = result_codes.ResultCode.OVERLOADED
+        if self._is_repeat(fields):
+            code = result_codes.ResultCode.ENTRY_HOST_LOST
+        return result_codes.Refusal(
+            code,
+            "request bodies fill the memory set aside for them",
+            gateway_const.DEFAULT_RETRY_AFTER_S,
+        )
+
     def _overload(self, rank: core.Rank) -> result_codes.Refusal | None:
         limit_s = gateway_const.LOOP_LAG_LIMIT_S[rank]
         if self.lag.lag_s <= limit_s:
