Show operators quota, refusals and probes, and bad settings in one line

Cause: entry-host run met a bad port, a missing flag or an address in use with typer's box or a traceback; the status had no quota units, seats, store calls or refusals; refusal counters appeared only at the first refusal, so an alert on their increase missed it; a flood left no trace of its cause in the log. Ruled out: checking ports by binding them before the start, since another process can take a port in between; one log line for each refusal. The ledger and the borrower have read-only properties for this. Stand-ins start the program from their own work tree; before, they ran the tree that the shared environment was installed from.

--- a/src/samphirelug/components/commands/settings.py
+++ b/src/samphirelug/components/commands/settings.py
@@ -12,6 +12,7 @@
 from typer import core as typer_core
 
 from samphirelug.components.catalogue import schema
+from samphirelug import settings as settings_module
 
 MIN_SECONDS = 0.1
 MAX_SECONDS = 600.0
@@ -68,6 +69,25 @@
     return seconds
 
 
+def parse_port(value: Any) -> int:
+    """Return a port number; its range is checked with the other settings."""
+    if not re.fullmatch(r"[0-9]{1,5}", str(value)):
+        raise typer.BadParameter(
+            f"{value!r} is not a port from {settings_module.PORT_ALLOWED}"
+        )
+    return int(value)
+
+
+def parse_number(value: Any) -> float:
+    """Return a number; its bounds are checked with the other settings."""
+    try:
+        return float(value)
+    except ValueError:
+        raise typer.BadParameter(
+            f"{value!r} is not a number of seconds"
+        ) from None
+
+
 def parse_revision(value: Any) -> int:
     """Return a revision of the store."""
     if not re.fullmatch(r"[0-9]{1,18}", str(value)):
@@ -189,6 +209,14 @@
         help="Return when the change is in force on every host.",
     ),
 ]
+Watch = Annotated[
+    bool,
+    typer.Option(
+        "--watch",
+        envvar="SAMPHIRELUG_WATCH",
+        help="Show the status anew each second until interrupted.",
+    ),
+]
 Key = Annotated[str, typer.Argument(callback=check_key, help="KIND/NAME")]
 Keys = Annotated[
     list[str], typer.Argument(callback=check_keys, help="KIND/NAME ...")
--- a/src/samphirelug/components/commands/status.py
+++ b/src/samphirelug/components/commands/status.py
@@ -1,59 +1,117 @@
-"""Show the status of entry hosts."""
+"""Show the status of entry hosts, once or as a live view."""
 
 import asyncio
+import sys
+from typing import Any
 
-from returns.result import Result
 from returns.result import Success
+import rich.console
+import rich.live
+import rich.table
 import typer
-import yaml
 
 from samphirelug.components.commands import io_entry_host
 from samphirelug.components.commands import output
 from samphirelug.components.commands import settings
+from samphirelug.components.commands import status_tables
+from samphirelug.helpers import timer as timer_helper
 from samphirelug import result_codes
 
+WATCH_INTERVAL_S = 1.0
+
 
 def status(
     entry_host_url: settings.EntryHostUrls = None,
     timeout_s: settings.TimeoutSeconds = 2.0,
+    watch: settings.Watch = False,
     as_json: settings.Json = False,
 ) -> None:
-    """Show what entry hosts report of themselves."""
+    """Show what entry hosts report of themselves.
+
+    Without a terminal, or with --json, --watch prints once.
+    """
     urls = settings.require_urls(entry_host_url)
-    answers = asyncio.run(_ask(urls, timeout_s))
-    found: dict[str, object] = {}
-    refusals: list[result_codes.Refusal] = []
-    for url, answer in answers.items():
-        if not isinstance(answer, Success):
-            refusals.append(answer.failure())
-            found[url] = output.refusal_body(answer.failure())
-        elif answer.unwrap().status != 200:
-            refusal = result_codes.Refusal(
-                result_codes.ResultCode.ENTRY_HOST_UNREACHABLE,
-                f"{url}: answered with status {answer.unwrap().status}",
-            )
-            refusals.append(refusal)
-            found[url] = output.refusal_body(refusal)
-        else:
-            found[url] = answer.unwrap().body
+    if watch and not as_json and sys.stdout.isatty():
+        try:
+            asyncio.run(_watch(urls, timeout_s))
+        except KeyboardInterrupt:
+            return
+    found = asyncio.run(_ask(urls, timeout_s))
     if as_json:
-        output.print_json(found)
+        output.print_json(
+            {
+                url: output.refusal_body(answer)
+                if isinstance(answer, result_codes.Refusal)
+                else answer
+                for url, answer in found.items()
+            }
+        )
     else:
-        text = yaml.safe_dump(found, sort_keys=False, allow_unicode=True)
-        typer.echo(text, nl=False)
+        for table in status_tables.tables(_serving(found)):
+            typer.echo(f"{table.title}:")
+            output.print_table(table.header, table.rows)
+            typer.echo("")
+    refusals = _refusals(found)
+    for refusal in refusals:
+        output.print_refusal(refusal)
     if refusals:
-        for refusal in refusals:
-            output.print_refusal(refusal)
         raise typer.Exit(refusals[0].code.exit_code)
 
 
-async def _ask(
-    urls: list[str], timeout_s: float
-) -> dict[str, Result[io_entry_host.HttpAnswer, result_codes.Refusal]]:
+async def _watch(urls: list[str], timeout_s: float) -> None:
+    """Draw the tables anew until interrupted."""
+    timer = timer_helper.LoopTimerService()
+    with rich.live.Live(screen=True, auto_refresh=False) as live:
+        while True:
+            live.update(_draw(await _ask(urls, timeout_s)), refresh=True)
+            await timer.sleep(WATCH_INTERVAL_S)
+
+
+def _draw(found: "Found") -> rich.console.Group:
+    parts: list[Any] = [refusal.detail for refusal in _refusals(found)]
+    for table in status_tables.tables(_serving(found)):
+        drawn = rich.table.Table(title=table.title, title_justify="left")
+        for column in table.header:
+            drawn.add_column(column)
+        for row in table.rows:
+            drawn.add_row(*row)
+        parts.append(drawn)
+    return rich.console.Group(*parts)
+
+
+Found = dict[str, dict[str, Any] | result_codes.Refusal]
+
+
+async def _ask(urls: list[str], timeout_s: float) -> Found:
     answers = await asyncio.gather(
         *(
             io_entry_host.get_json(f"{url}/v1/status", timeout_s=timeout_s)
             for url in urls
         )
     )
-    return dict(zip(urls, answers, strict=True))
+    found: Found = {}
+    for url, answer in zip(urls, answers, strict=True):
+        if not isinstance(answer, Success):
+            found[url] = answer.failure()
+            continue
+        body = answer.unwrap().body
+        if answer.unwrap().status == 200 and isinstance(body, dict):
+            found[url] = body
+            continue
+        found[url] = result_codes.Refusal(
+            result_codes.ResultCode.ENTRY_HOST_UNREACHABLE,
+            f"{url}: answered with status {answer.unwrap().status}",
+        )
+    return found
+
+
+def _serving(found: Found) -> list[dict[str, Any]]:
+    return [body for body in found.values() if isinstance(body, dict)]
+
+
+def _refusals(found: Found) -> list[result_codes.Refusal]:
+    return [
+        answer
+        for answer in found.values()
+        if isinstance(answer, result_codes.Refusal)
+    ]
--- a/src/samphirelug/components/gateway/exchange.py
+++ b/src/samphirelug/components/gateway/exchange.py
@@ -175,6 +175,12 @@
             return
         self._count(refusal.code)
         self.service.metrics.count_refusal(refusal.code, self.rank)
+        self.service.refusal_log.write(
+            refusal,
+            rank=self.rank,
+            work=self.work,
+            request_id=self.request_id,
+        )
         line, headers, body = rendering.render_refusal(
             refusal, self.request_id
         )
--- a/src/samphirelug/components/gateway/io_operator.py
+++ b/src/samphirelug/components/gateway/io_operator.py
@@ -45,17 +45,23 @@
 
 
 class ProbeHandler(web.RequestHandler):
-    """Answer 200 while a condition holds, else 503 with the reason."""
+    """Answer 200 while nothing is wrong, else 503 with the problem."""
 
-    def initialize(self, *, problem: Callable[[], str | None]) -> None:
-        """Keep the function that names the problem, if there is one."""
-        self.problem = problem
+    def initialize(
+        self, *, probe: Callable[[], dict[str, Any]], readiness: bool
+    ) -> None:
+        """Keep the function that judges the entry host."""
+        self.probe = probe
+        self.readiness = readiness
 
     def get(self) -> None:
-        """Write the state."""
-        problem = self.problem()
-        self.set_status(200 if problem is None else 503)
-        self.write({"ok": problem is None, "problem": problem})
+        """Write the state; a process that answers at all is healthy."""
+        found = self.probe()
+        if not self.readiness:
+            found = {**found, "problem": None}
+        ok = found["problem"] is None
+        self.set_status(200 if ok else 503)
+        self.write({"ok": ok, **found})
 
 
 class OperatorServer:
@@ -68,7 +74,7 @@
         port: int,
         status: Callable[[], dict[str, Any]],
         catalogue_status: Callable[[], dict[str, Any]],
-        not_ready: Callable[[], str | None],
+        probe: Callable[[], dict[str, Any]],
         metrics: registry.Metrics,
         update_metrics: Callable[[], None],
     ) -> None:
@@ -85,8 +91,16 @@
                     MetricsHandler,
                     {"metrics": metrics, "update": update_metrics},
                 ),
-                (r"/healthz", ProbeHandler, {"problem": lambda: None}),
-                (r"/readyz", ProbeHandler, {"problem": not_ready}),
+                (
+                    r"/healthz",
+                    ProbeHandler,
+                    {"probe": probe, "readiness": False},
+                ),
+                (
+                    r"/readyz",
+                    ProbeHandler,
+                    {"probe": probe, "readiness": True},
+                ),
             ],
             log_function=lambda _: None,
         )
--- a/src/samphirelug/components/gateway/service.py
+++ b/src/samphirelug/components/gateway/service.py
@@ -20,6 +20,7 @@
 from samphirelug.components.steering import model as steering_model
 from samphirelug import const
 from samphirelug import core
+from samphirelug.helpers import logging as logging_helper
 from samphirelug.helpers import loop_lag
 from samphirelug.helpers import timer
 from samphirelug import result_codes
@@ -62,6 +63,9 @@
         self.metrics = metrics
         self.lag = lag
         self.timer = timer_service
+        self.refusal_log = logging_helper.RefusalLog(
+            timer_service=timer_service
+        )
         # Returns why the whole entry host refuses new work now, if it does.
         self.refusing = refusing
         self.buffered_bytes = 0
--- a/src/samphirelug/components/metrics/registry.py
+++ b/src/samphirelug/components/metrics/registry.py
@@ -1,12 +1,25 @@
 """Count refusals, retries, requests and store calls of this process."""
 
+from typing import Any
+
 from aioprometheus import collectors
 
 from aioprometheus.formats import text
 
+from samphirelug.components.backend import model as backend_model
 from samphirelug import core
 from samphirelug import result_codes
 
+# Codes that a caller can get; each is counted from 0, so that an alert on
+# the increase sees the first refusal.
+REFUSAL_CODES = tuple(
+    code
+    for code in result_codes.ResultCode
+    if code.effect
+    in (result_codes.Effect.NOT_RUN, result_codes.Effect.OUTCOME_UNKNOWN)
+)
+RETRY_REASONS = tuple(kind.value for kind in backend_model.FailureKind)
+
 LATENCY_BUCKETS_S = (
     0.005,
     0.01,
@@ -50,8 +63,26 @@
             buckets=list(LATENCY_BUCKETS_S),
             registry=self.registry,
         )
+        self.headroom = self._gauge(
+            "samphirelug_headroom_requests",
+            "Requests that own units allow, by region, service and state",
+        )
         self.units = self._gauge(
-            "samphirelug_quota_units", "Own quota units by key and state"
+            "samphirelug_quota_units",
+            "Quota units of regions, shifts and links by key and state",
+        )
+        self.seat_valid = self._gauge(
+            "samphirelug_seat_valid_seconds",
+            "Time for which the seat stays valid without the store",
+        )
+        self.ready = self._gauge(
+            "samphirelug_ready", "1 while /readyz says yes, else 0"
+        )
+        self.in_flight = self._gauge(
+            "samphirelug_in_flight_requests", "Requests of callers in flight"
+        )
+        self.wait = self._gauge(
+            "samphirelug_wait_seconds", "Estimated wait by rank"
         )
         self.catalogue_revision = self._gauge(
             "samphirelug_catalogue_revision", "Catalogue position in force"
@@ -62,13 +93,17 @@
         self.queued = self._gauge(
             "samphirelug_queued_requests", "Requests queued by rank"
         )
+        for code in REFUSAL_CODES:
+            for rank in core.Rank:
+                self.refusals.set(_refusal_labels(code, rank), 0)
+        for reason in RETRY_REASONS:
+            self.retries.set({"reason": reason}, 0)
 
     def count_refusal(
         self, code: result_codes.ResultCode, rank: core.Rank | None
     ) -> None:
         """Count a refusal sent to a caller."""
-        label = rank.label if rank is not None else "none"
-        self.refusals.inc({"reason": code.name.lower(), "rank": label})
+        self.refusals.inc(_refusal_labels(code, rank))
 
     def count_retry(self, reason: str) -> None:
         """Count another attempt for a request."""
@@ -95,6 +130,23 @@
         """Count a message received from a peer."""
         self.peer_messages.inc({"type": kind, "outcome": outcome})
 
+    def refusals_by_reason(self) -> dict[str, int]:
+        """Return the refusals counted so far, without reasons at 0."""
+        found: dict[str, int] = {}
+        for labels, value in self.refusals.get_all():
+            count = _count(value)
+            if count:
+                reason = labels["reason"]
+                found[reason] = found.get(reason, 0) + count
+        return found
+
+    def store_calls_by_outcome(self) -> list[dict[str, str | int]]:
+        """Return the store calls counted so far by kind and outcome."""
+        return [
+            {**labels, "count": _count(value)}
+            for labels, value in self.store_calls.get_all()
+        ]
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return text.TextFormatter().marshall(self.registry)
@@ -104,3 +156,14 @@
 
     def _gauge(self, name: str, doc: str) -> collectors.Gauge:
         return collectors.Gauge(name, doc, registry=self.registry)
+
+
+def _count(value: Any) -> int:
+    return int(value)
+
+
+def _refusal_labels(
+    code: result_codes.ResultCode, rank: core.Rank | None
+) -> dict[str, str]:
+    label = rank.label if rank is not None else "none"
+    return {"reason": code.name.lower(), "rank": label}
--- a/src/samphirelug/components/quota/ledger.py
+++ b/src/samphirelug/components/quota/ledger.py
@@ -149,6 +149,32 @@
         seat.cap = units
         self._refresh(seat)
 
+    @property
+    def accounts(self) -> tuple[model.KeyAccount, ...]:
+        """Return the account of every key, for operators."""
+        now = self._now()
+        lent: dict[str, int] = {}
+        for loan in self._loans.values():
+            for state, amount in loan.units:
+                lent[state.key] = lent.get(state.key, 0) + amount
+        return tuple(
+            model.KeyAccount(
+                key=key,
+                limit=state.limit.limit if state.limit else 0,
+                share=self._usable(state, now),
+                taken=state.taken,
+                lent=lent.get(key, 0),
+            )
+            for key, state in self._keys.items()
+        )
+
+    @property
+    def seat_times(self) -> Mapping[str, float]:
+        """Return the time until which the seat of each group is valid."""
+        return {
+            group: seat.valid_until_s for group, seat in self._seats.items()
+        }
+
     def usable(self, key: str) -> int:
         """Return the own units of a key; 0 once the seat has lapsed."""
         state = self._keys.get(key)
--- a/src/samphirelug/components/quota/loans.py
+++ b/src/samphirelug/components/quota/loans.py
@@ -79,6 +79,16 @@
         # Apart from the ledger's hold ids, which are positive.
         self._hold_ids = itertools.count(-1, -1)
 
+    @property
+    def borrowed(self) -> dict[str, int]:
+        """Return the borrowed units by key, in use or at hand."""
+        units: dict[str, int] = {}
+        idle = (one for ones in self._idle.values() for one in ones)
+        for borrowed in (*self._in_use.values(), *idle):
+            for unit in borrowed.bundle.units:
+                units[unit.key] = units.get(unit.key, 0) + unit.amount
+        return units
+
     def want(
         self,
         *,
--- a/src/samphirelug/components/quota/model.py
+++ b/src/samphirelug/components/quota/model.py
@@ -22,6 +22,19 @@
     amount: int
 
 
+class KeyAccount(NamedTuple):
+    """Report this entry host's units of one key."""
+
+    key: str
+    # Of all entry hosts together.
+    limit: int
+    # Own units that may be used now.
+    share: int
+    # Own units held, lingering and lent.
+    taken: int
+    lent: int
+
+
 class Bundle(NamedTuple):
     """Hold all units that one request to one backend server needs."""
 
--- a/src/samphirelug/components/quota/seat_keeper.py
+++ b/src/samphirelug/components/quota/seat_keeper.py
@@ -396,6 +396,7 @@
     ) -> None:
         """Use what the store says about the own seat."""
         now = self.timer.monotonic()
+        before = self._own_seat(state)
         state.table = table
         state.revision = revision
         state.tracker.observe(table, now=now)
@@ -403,6 +404,18 @@
             # No write on top of an older revision can take effect now.
             state.pending_on = None
         seat = self._own_seat(state)
+        units_before = before.units if before is not None else {}
+        units = seat.units if seat is not None else {}
+        if units != units_before:
+            LOG.info(
+                "units of the seat in %s changed",
+                state.group,
+                extra={
+                    "group": state.group,
+                    "before": dict(units_before),
+                    "after": dict(units),
+                },
+            )
         if seat is None:
             self.ledger.drop_seat(state.group)
             return
--- a/src/samphirelug/entry_host.py
+++ b/src/samphirelug/entry_host.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections.abc import Coroutine
+from collections.abc import Iterator
+import contextlib
 import logging
 import random
 import secrets
@@ -76,16 +78,17 @@
             secret=settings.cluster_secret, timer=self.timer
         )
         for rank in core.Rank:
-            self.listeners.append(
-                io_server.RankListener(
-                    rank=rank,
-                    address=settings.listen_address,
-                    port=settings.caller_ports[rank],
+            port = settings.caller_ports[rank]
+            with self._binding(f"{rank.label}-port", port):
+                self.listeners.append(
+                    io_server.RankListener(
+                        rank=rank, address=settings.listen_address, port=port
+                    )
                 )
-            )
-        self.peer_socket = netutil.bind_sockets(
-            settings.peer_port, settings.listen_address
-        )[0]
+        with self._binding("peer-port", settings.peer_port):
+            self.peer_socket = netutil.bind_sockets(
+                settings.peer_port, settings.listen_address
+            )[0]
         peer_port = self.peer_socket.getsockname()[1]
         urls = [
             f"http://{settings.advertise_address}:{listener.port}"
@@ -101,6 +104,19 @@
             peer_url=f"ws://{settings.advertise_address}:{peer_port}",
         )
 
+    @contextlib.contextmanager
+    def _binding(self, flag: str, port: int) -> Iterator[None]:
+        """Name the setting whose address cannot be listened on."""
+        try:
+            yield
+        except OSError as error:
+            raise settings_module.AddressUnavailableError(
+                flag=flag,
+                address=self.settings.listen_address,
+                port=port,
+                error=error,
+            ) from error
+
     def _build_state(self) -> None:
         """Build the parts that hold shared state."""
         settings = self.settings
@@ -208,15 +224,16 @@
             refusing=self.refusing,
         )
         self.status = status.StatusReport(entry_host=self)
-        self.operator = io_operator.OperatorServer(
-            address=self.settings.listen_address,
-            port=self.settings.operator_port,
-            status=self.status.status,
-            catalogue_status=self.status.catalogue_status,
-            not_ready=self.not_ready,
-            metrics=self.metrics,
-            update_metrics=self.status.update_metrics,
-        )
+        with self._binding("operator-port", self.settings.operator_port):
+            self.operator = io_operator.OperatorServer(
+                address=self.settings.listen_address,
+                port=self.settings.operator_port,
+                status=self.status.status,
+                catalogue_status=self.status.catalogue_status,
+                probe=self.status.probe,
+                metrics=self.metrics,
+                update_metrics=self.status.update_metrics,
+            )
         self.host_list = hosts.HostList(
             store=self.store,
             timer=self.timer,
@@ -240,6 +257,7 @@
 
     def _connect_parts(self) -> None:
         self.health.on_sighting.append(self.mesh.broadcast)
+        self.health.on_sighting.append(self._log_sighting)
         self.mesh.on_superseded.append(self.stop_requested.set)
         self.mesh.set_handler(peers_model.Sighting, self._on_sighting)
         self.mesh.set_handler(peers_model.GrantRequest, self._on_grant_request)
@@ -308,6 +326,8 @@
         """Return why callers should not be sent here, if so."""
         if self.state is not core.EntryHostState.SERVING:
             return f"state is {self.state}"
+        if not self._has_units():
+            return "no quota units: the seat has lapsed"
         return None
 
     async def run(self) -> int:
@@ -329,6 +349,9 @@
         self._spawn(self.host_list.run())
         self._spawn(self.seats.run())
         self.prober.start()
+        self.timer.subscribe(
+            interval_s=status.SEAT_CHECK_S, callback=self.status.check_seats
+        )
         self._spawn(self._become_serving())
         await self.stop_requested.wait()
         await self._stop()
@@ -387,11 +410,20 @@
     def _in_flight(self) -> int:
         return self.service.in_flight + len(self.executor.runs)
 
+    def _log_sighting(self, sighting: peers_model.Sighting) -> None:
+        """Log a change of a server's state, once for each change."""
+        LOGGER.info(
+            "server %s is %s",
+            sighting.server,
+            "leaving" if sighting.leaving else "live again",
+            extra={"server": sighting.server, "leaving": sighting.leaving},
+        )
+
     async def _on_sighting(
         self, sender: str, message: peers_model.Message
     ) -> None:
         assert isinstance(message, peers_model.Sighting)
-        LOGGER.info("%s reports server %s", sender, message.server)
+        LOGGER.debug("%s reports server %s", sender, message.server)
         self.health.apply_sighting(message)
 
     async def _on_grant_request(
--- a/src/samphirelug/helpers/logging.py
+++ b/src/samphirelug/helpers/logging.py
@@ -5,8 +5,11 @@
 
 from pythonjsonlogger import json as json_logger
 
+from samphirelug import core
 from samphirelug.helpers import timer
+from samphirelug import result_codes
 
+LOGGER = logging.getLogger(__name__)
 LOG_FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
 
 
@@ -47,3 +50,41 @@
             return None
         self.last_s[key] = now
         return self.suppressed.pop(key, 0)
+
+
+class RefusalLog:
+    """Log the causes of refusals, one record a second for each cause."""
+
+    def __init__(self, *, timer_service: timer.TimerService) -> None:
+        self.sampler = LogSampler(timer_service=timer_service)
+
+    def write(
+        self,
+        refusal: result_codes.Refusal,
+        *,
+        rank: core.Rank,
+        work: str,
+        request_id: str,
+    ) -> None:
+        """Log a refusal, unless one of its code and rank just was."""
+        code = refusal.code
+        unknown = code.effect is result_codes.Effect.OUTCOME_UNKNOWN
+        level = logging.WARNING if unknown else logging.INFO
+        if not LOGGER.isEnabledFor(level):
+            return
+        suppressed = self.sampler.take(f"{code.name}/{rank.label}")
+        if suppressed is None:
+            return
+        LOGGER.log(
+            level,
+            "refused with %s: %s",
+            code.name,
+            refusal.detail,
+            extra={
+                "code": int(code),
+                "rank": rank.label,
+                "work": work[:63],
+                "request_id": request_id[:128],
+                "suppressed": suppressed,
+            },
+        )
--- a/src/samphirelug/settings.py
+++ b/src/samphirelug/settings.py
@@ -1,5 +1,6 @@
 """Define the entry host's settings and check them at start."""
 
+import ipaddress
 import re
 from typing import NamedTuple
 import urllib.parse
@@ -13,6 +14,26 @@
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9.-]{0,62}")
 SECRET_MIN_CHARACTERS = 16
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+PORT_ALLOWED = "0 to 65535"
+
+
+class Bounds(NamedTuple):
+    """Bound a setting, both ends included."""
+
+    low: float
+    high: float
+
+    @property
+    def text(self) -> str:
+        """Return the bounds as messages and help texts print them."""
+        return f"{self.low:g} to {self.high:g}"
+
+
+BOUNDS = {
+    "seat-lease-s": Bounds(1.0, 86_400.0),
+    "lookup-keep-s": Bounds(0.0, 600.0),
+    "probe-interval-s": Bounds(0.1, 600.0),
+}
 
 
 class EntryHostSettings(NamedTuple):
@@ -39,6 +60,21 @@
     log_level: str
 
 
+class AddressUnavailableError(Exception):
+    """Report an address that the process cannot listen on."""
+
+    def __init__(
+        self, *, flag: str, address: str, port: int, error: OSError
+    ) -> None:
+        super().__init__(str(error))
+        self.refusal = _invalid(
+            flag,
+            port,
+            f"a port that this process can listen on at {address}, or 0"
+            f" ({error.strerror})",
+        )
+
+
 def _invalid(flag: str, value: object, allowed: str) -> result_codes.Refusal:
     return result_codes.Refusal(
         result_codes.ResultCode.SETTING_INVALID,
@@ -52,6 +88,7 @@
     """Return the settings, or SETTING_INVALID for the first bad one."""
     for problem in (
         _check_names(settings),
+        _check_addresses(settings),
         _check_ports(settings),
         _check_urls(settings),
         _check_intervals(settings),
@@ -87,6 +124,26 @@
     return None
 
 
+def _check_addresses(
+    settings: EntryHostSettings,
+) -> result_codes.Refusal | None:
+    # URLs are built from the advertised address, which an IPv6 one would
+    # need brackets in.
+    for flag, value in (
+        ("listen-address", settings.listen_address),
+        ("advertise-address", settings.advertise_address),
+    ):
+        try:
+            address = ipaddress.IPv4Address(value)
+        except ValueError:
+            return _invalid(flag, value, "an IPv4 address")
+        if flag == "advertise-address" and address.is_unspecified:
+            return _invalid(
+                flag, value, "the IPv4 address that others reach the host at"
+            )
+    return None
+
+
 def _check_ports(
     settings: EntryHostSettings,
 ) -> result_codes.Refusal | None:
@@ -98,7 +155,7 @@
         ("operator-port", settings.operator_port),
     ):
         if not 0 <= port <= 65535:
-            return _invalid(flag, port, "0 to 65535")
+            return _invalid(flag, port, PORT_ALLOWED)
     return None
 
 
@@ -116,13 +173,15 @@
 def _check_intervals(
     settings: EntryHostSettings,
 ) -> result_codes.Refusal | None:
-    for flag, value, low, high in (
-        ("seat-lease-s", settings.seat_lease_s, 1.0, 86_400.0),
-        ("lookup-keep-s", settings.lookup_keep_s, 0.0, 600.0),
-        ("probe-interval-s", settings.probe_interval_s, 0.1, 600.0),
+    for flag, value in (
+        ("seat-lease-s", settings.seat_lease_s),
+        ("lookup-keep-s", settings.lookup_keep_s),
+        ("probe-interval-s", settings.probe_interval_s),
     ):
-        if not low <= value <= high:
-            return _invalid(flag, value, f"{low:g} to {high:g}")
+        bounds = BOUNDS[flag]
+        # Comparisons with NaN are false.
+        if not bounds.low <= value <= bounds.high:
+            return _invalid(flag, value, bounds.text)
     return None
 
 
--- a/src/samphirelug/status.py
+++ b/src/samphirelug/status.py
@@ -1,13 +1,20 @@
 """Report an entry host's state to operators."""
 
+import logging
 import typing
 from typing import Any
 
+from samphirelug.components.gateway import const as gateway_const
 from samphirelug import core
 
 if typing.TYPE_CHECKING:
     from samphirelug import entry_host as entry_host_module
 
+LOGGER = logging.getLogger(__name__)
+SEAT_CHECK_S = 1.0
+# Keys of single servers and work entries would be too many labels.
+METRIC_KEYS = ("region:", "shift:", "link:")
+
 
 class StatusReport:
     """Collect what operators ask for from the parts of an entry host."""
@@ -16,6 +23,7 @@
         self, *, entry_host: "entry_host_module.EntryHostProcess"
     ) -> None:
         self.entry_host = entry_host
+        self.valid_seats: set[str] = set()
 
     def status(self) -> dict[str, Any]:
         """Return this entry host's own state and what it knows of peers."""
@@ -35,6 +43,11 @@
             "queued": {rank.label: beat.queued[rank] for rank in core.Rank},
             "wait_s": {rank.label: beat.wait_s[rank] for rank in core.Rank},
             "headroom": [room._asdict() for room in beat.headroom],
+            "quota": self.quota(),
+            "seats": self.seats(),
+            "refusals": own.metrics.refusals_by_reason(),
+            "store_calls": own.metrics.store_calls_by_outcome(),
+            "overloaded": self.overloaded(),
             "leaving_servers": [
                 sighting.server
                 for sighting in beat.sightings
@@ -52,6 +65,72 @@
             ],
         }
 
+    def quota(self) -> dict[str, dict[str, int]]:
+        """Return the units by key that are own, in use, lent or borrowed."""
+        own = self.entry_host
+        borrowed = own.borrower.borrowed
+        found = {
+            account.key: {
+                "limit": account.limit,
+                "share": account.share,
+                "free": max(0, account.share - account.taken),
+                "held": account.taken - account.lent,
+                "lent": account.lent,
+                "borrowed": borrowed.pop(account.key, 0),
+            }
+            for account in own.ledger.accounts
+            if account.share or account.taken or account.key in borrowed
+        }
+        for key, amount in borrowed.items():
+            found[key] = dict.fromkeys(
+                ("limit", "share", "free", "held", "lent"), 0
+            ) | {"borrowed": amount}
+        return found
+
+    def seats(self) -> dict[str, float]:
+        """Return the seconds that each seat stays valid; 0 once lapsed."""
+        own = self.entry_host
+        now = own.timer.monotonic()
+        return {
+            group: round(max(0.0, until_s - now), 1)
+            for group, until_s in own.ledger.seat_times.items()
+        }
+
+    def overloaded(self) -> list[str]:
+        """Return the ranks that are refused since the event loop lags."""
+        lag_s = self.entry_host.lag.lag_s
+        return [
+            rank.label
+            for rank in core.Rank
+            if lag_s > gateway_const.LOOP_LAG_LIMIT_S[rank]
+        ]
+
+    def probe(self) -> dict[str, Any]:
+        """Return what the probes say."""
+        own = self.entry_host
+        return {
+            "problem": own.not_ready(),
+            "state": own.state.value,
+            "overloaded": self.overloaded(),
+        }
+
+    def check_seats(self) -> None:
+        """Log each seat that has lapsed, once."""
+        own = self.entry_host
+        valid = {group for group, left_s in self.seats().items() if left_s}
+        lapsed = self.valid_seats - valid
+        self.valid_seats = valid
+        if own.state is core.EntryHostState.LEAVING:
+            # A planned stop returns the seats.
+            return
+        for group in sorted(lapsed):
+            LOGGER.error(
+                "seat in %s lapsed: its units are out of use until the store"
+                " confirms a renewal",
+                group,
+                extra={"group": group},
+            )
+
     def catalogue_status(self) -> dict[str, Any]:
         """Return the position in force at each known entry host."""
         own = self.entry_host
@@ -77,10 +156,22 @@
         metrics = own.metrics
         metrics.catalogue_revision.set({}, own.catalogue.position)
         metrics.loop_lag.set({}, own.lag.lag_s)
+        metrics.ready.set({}, int(own.not_ready() is None))
+        metrics.in_flight.set({}, own.service.in_flight)
         for rank in core.Rank:
-            queued = own.admission.queued()[rank]
-            metrics.queued.set({"rank": rank.label}, queued)
+            label = {"rank": rank.label}
+            metrics.queued.set(label, own.admission.queued()[rank])
+            metrics.wait.set(label, own.admission.wait_s(rank))
+        # Regions, keys and groups come and go with the catalogue.
+        for gauge in (metrics.headroom, metrics.units, metrics.seat_valid):
+            gauge.values.clear()
         for room in own.admission.headroom():
             labels = {"region": room.region, "service": room.service}
-            metrics.units.set({**labels, "state": "free"}, room.free)
-            metrics.units.set({**labels, "state": "held"}, room.held)
+            metrics.headroom.set({**labels, "state": "free"}, room.free)
+            metrics.headroom.set({**labels, "state": "share"}, room.held)
+        for key, account in self.quota().items():
+            if key.startswith(METRIC_KEYS):
+                for state, amount in account.items():
+                    metrics.units.set({"key": key, "state": state}, amount)
+        for group, left_s in self.seats().items():
+            metrics.seat_valid.set({"group": group}, left_s)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -219,7 +219,7 @@
             *words,
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.PIPE,
-            env=self._environment(),
+            env=self._environment([*self.program, *words]),
         )
         out, err = await process.communicate()
         return process.returncode or 0, out.decode(), err.decode()
@@ -269,7 +269,7 @@
                 *words,
                 stdout=asyncio.subprocess.PIPE,
                 stderr=log,
-                env=self._environment(),
+                env=self._environment(words),
             )
         self.processes[name] = process
         if wait_ready:
@@ -284,6 +284,14 @@
         ports = free_ports(5)
         return HostPorts((ports[0], ports[1], ports[2]), ports[3], ports[4])
 
-    def _environment(self) -> dict[str, str]:
-        root = str(pathlib.Path(__file__).parent.parent)
-        return {**os.environ, "PYTHONPATH": root, "PYTHONUNBUFFERED": "1"}
+    def _environment(self, words: list[str]) -> dict[str, str]:
+        if words[: len(self.program)] == self.program and (
+            "-m" not in self.program
+        ):
+            # The one binary must find its libraries in itself alone.
+            return {**os.environ, "PYTHONUNBUFFERED": "1"}
+        # Without src/ the processes would run the source tree that the
+        # environment was set up for, which may be another work tree.
+        root = pathlib.Path(__file__).resolve().parent.parent
+        path = f"{root}:{root / 'src'}"
+        return {**os.environ, "PYTHONPATH": path, "PYTHONUNBUFFERED": "1"}
--- a/tests/components/gateway/test_io_server.py
+++ b/tests/components/gateway/test_io_server.py
@@ -10,6 +10,7 @@
 from samphirelug.components.gateway import io_server
 from samphirelug.components.metrics import registry
 from samphirelug import core
+from samphirelug.helpers import logging as logging_helper
 from samphirelug.helpers import timer
 from samphirelug import result_codes
 
@@ -22,6 +23,7 @@
         self.timer = timer.LoopTimerService()
         self.in_flight = 0
         self.buffered_bytes = 0
+        self.refusal_log = logging_helper.RefusalLog(timer_service=self.timer)
 
 
 def make_listener() -> io_server.RankListener:
--- /dev/null
+++ b/tests/components/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Test the metrics component."""
--- /dev/null
+++ b/tests/helpers/test_logging.py
@@ -0,0 +1,35 @@
+"""Test what refusals cost in log lines."""
+
+import logging
+
+import pytest
+
+from samphirelug import core
+from samphirelug.helpers import logging as logging_helper
+from samphirelug.helpers import timer
+from samphirelug import result_codes
+
+
+def test_flood_of_refusals_is_a_line_a_second(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guard against a flood that costs a log line for each refusal."""
+    clock = timer.ManualTimerService()
+    log = logging_helper.RefusalLog(timer_service=clock)
+    caplog.set_level(logging.INFO)
+    refusal = result_codes.Refusal(
+        result_codes.ResultCode.OVERLOADED, "queue is full", 1.0
+    )
+    for number in range(4096):
+        log.write(
+            refusal,
+            rank=core.Rank.EXPORT,
+            work="w" * 1000,
+            request_id=str(number),
+        )
+        clock.advance(1 / 1024)
+    assert len(caplog.records) == 4
+    fields = vars(caplog.records[-1])
+    assert fields["suppressed"] == 1023
+    assert fields["code"] == 1101
+    assert len(fields["work"]) == 63
