Describe and carry out the operators' walk-throughs

Cause: nobody who has not seen the program could install it, change its catalogue, drain a server, replace an entry host or read a refusal's cause from the pages; and the walk-through showed a fault: tallinn's two entry hosts held 4 of 12 units each and tartu's only one 4 of 12, for good. Ruled out for the fault: lost seat writes and lagging membership (all three hosts saw each other; every write succeeded). EntryHostProcess.hosts_of now takes a region, as the seat keeper calls it: it took a group, found no region in the argument and returned all hosts of the fleet.

--- a/src/samphirelug/components/quota/ledger.py
+++ b/src/samphirelug/components/quota/ledger.py
@@ -170,9 +170,11 @@
 
     @property
     def seat_times(self) -> Mapping[str, float]:
-        """Return the time until which the seat of each group is valid."""
+        """Return the time until which each seat with units is valid."""
         return {
-            group: seat.valid_until_s for group, seat in self._seats.items()
+            group: seat.valid_until_s
+            for group, seat in self._seats.items()
+            if seat.units
         }
 
     def usable(self, key: str) -> int:
--- a/src/samphirelug/entry_host.py
+++ b/src/samphirelug/entry_host.py
@@ -284,14 +284,13 @@
             sightings=self.health.sightings(),
         )
 
-    def hosts_of(self, group: str) -> frozenset[str]:
-        """Return the entry hosts that divide a group of quota keys."""
+    def hosts_of(self, region: str) -> frozenset[str]:
+        """Return the live entry hosts of a region, with this one."""
         known = [peer.heartbeat.host for peer in self.mesh.live_peers()]
         known.append(self.host)
-        regions = frozenset(group.partition("/")[2].split("+"))
-        near = [host for host in known if host.zone.region in regions]
-        # A region without entry hosts of its own is served by all others.
-        return frozenset(host.name for host in near or known)
+        return frozenset(
+            host.name for host in known if host.zone.region == region
+        )
 
     def region_of_zone(self, zone: str) -> str | None:
         """Return the region of an availability zone of the catalogue."""
--- a/src/samphirelug/status.py
+++ b/src/samphirelug/status.py
@@ -116,13 +116,14 @@
 
     def check_seats(self) -> None:
         """Log each seat that has lapsed, once."""
-        own = self.entry_host
-        valid = {group for group, left_s in self.seats().items() if left_s}
-        lapsed = self.valid_seats - valid
-        self.valid_seats = valid
-        if own.state is core.EntryHostState.LEAVING:
-            # A planned stop returns the seats.
-            return
+        seats = self.seats()
+        # A seat that was given back has no units and is not in the list.
+        lapsed = {
+            group
+            for group, left_s in seats.items()
+            if not left_s and group in self.valid_seats
+        }
+        self.valid_seats = {group for group, left_s in seats.items() if left_s}
         for group in sorted(lapsed):
             LOGGER.error(
                 "seat in %s lapsed: its units are out of use until the store"
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -219,7 +219,7 @@
             *words,
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.PIPE,
-            env=self._environment([*self.program, *words]),
+            env=self.environment([*self.program, *words]),
         )
         out, err = await process.communicate()
         return process.returncode or 0, out.decode(), err.decode()
@@ -269,7 +269,7 @@
                 *words,
                 stdout=asyncio.subprocess.PIPE,
                 stderr=log,
-                env=self._environment(words),
+                env=self.environment(words),
             )
         self.processes[name] = process
         if wait_ready:
@@ -284,7 +284,8 @@
         ports = free_ports(5)
         return HostPorts((ports[0], ports[1], ports[2]), ports[3], ports[4])
 
-    def _environment(self, words: list[str]) -> dict[str, str]:
+    def environment(self, words: list[str]) -> dict[str, str]:
+        """Return the environment to start a command in."""
         if words[: len(self.program)] == self.program and (
             "-m" not in self.program
         ):
--- /dev/null
+++ b/standins/walkthrough.py
@@ -0,0 +1,292 @@
+"""Carry out the walk-throughs of docs/operators.md as they are written.
+
+The page's console blocks hold commands, each after "$ ", and what one sees.
+"..." stands for any text. Blocks marked "repeat" are run again until they
+match, since what they show needs some seconds.
+"""
+
+import asyncio
+import contextlib
+import doctest
+import os
+import pathlib
+import re
+import shlex
+import signal
+import sys
+from typing import NamedTuple
+
+import typer
+import yaml
+
+from samphirelug import core
+from samphirelug.helpers import timer
+from standins import demo
+from standins import fleet
+
+PAGE = pathlib.Path(__file__).resolve().parent.parent / "docs/operators.md"
+REPEAT_S = 60.0
+REPEAT_PAUSE_S = 0.3
+COMMAND_TIMEOUT_S = 90.0
+LOOKUP_KEEP_S = 2
+FLAGS = doctest.ELLIPSIS | doctest.NORMALIZE_WHITESPACE
+END = "end-of-command"
+
+
+class Command(NamedTuple):
+    """Hold one command and what the page says one sees."""
+
+    text: str
+    expected: str
+
+
+class Block(NamedTuple):
+    """Hold the commands of one console block."""
+
+    commands: tuple[Command, ...]
+    repeat: bool
+
+
+class Section(NamedTuple):
+    """Hold one walk-through."""
+
+    number: int
+    title: str
+    blocks: tuple[Block, ...]
+    # File name to content, from blocks marked file=NAME.
+    files: dict[str, str]
+
+
+class MismatchError(Exception):
+    """Report output that is not what the page says."""
+
+
+def read_page(text: str) -> list[Section]:
+    """Return the numbered sections of the page that have console blocks."""
+    sections = []
+    for part in re.split(r"^## ", text, flags=re.MULTILINE)[1:]:
+        title = part.partition("\n")[0]
+        numbered = re.match(r"(\d+)\. ", title)
+        if numbered is None:
+            continue
+        blocks: list[Block] = []
+        files: dict[str, str] = {}
+        for info, body in re.findall(
+            r"^```(.*)\n((?:(?!```).*\n)*)```$", part, flags=re.MULTILINE
+        ):
+            if info.startswith("console"):
+                blocks.append(Block(_commands(body), "repeat" in info))
+            elif "file=" in info:
+                files[info.partition("file=")[2]] = body
+        sections.append(Section(int(numbered[1]), title, tuple(blocks), files))
+    return sections
+
+
+def _commands(body: str) -> tuple[Command, ...]:
+    found = []
+    for part in re.split(r"^\$ ", body, flags=re.MULTILINE)[1:]:
+        text, _, expected = part.partition("\n")
+        found.append(Command(text, expected))
+    return tuple(found)
+
+
+class Shell:
+    """Run commands one by one in one shell, as an operator does."""
+
+    def __init__(self, *, directory: str, environment: dict[str, str]) -> None:
+        self.directory = directory
+        self.environment = environment
+        self.process: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        """Start the shell."""
+        self.process = await asyncio.create_subprocess_exec(
+            "bash",
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+            cwd=self.directory,
+            env=self.environment,
+        )
+
+    async def run(self, text: str) -> str:
+        """Return what a command writes to both outputs."""
+        assert self.process is not None
+        assert self.process.stdin is not None
+        assert self.process.stdout is not None
+        line = f"{text}\nprintf '\\n%s\\n' {END}\n"
+        self.process.stdin.write(line.encode())
+        await self.process.stdin.drain()
+        output: list[str] = []
+        while True:
+            read = await self.process.stdout.readline()
+            if not read or read.decode().rstrip("\n") == END:
+                return "".join(output).removesuffix("\n")
+            output.append(read.decode(errors="replace"))
+
+    async def stop(self) -> None:
+        """End the shell; processes that it started go on."""
+        if self.process is None:
+            return
+        if self.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                self.process.kill()
+        await self.process.wait()
+
+
+def prepare(running: fleet.Fleet, program: list[str]) -> dict[str, str]:
+    """Write the files that the page starts from; return the variables."""
+    directory = pathlib.Path(running.directory.name)
+    wrapper = directory / "bin" / "samphirelug"
+    wrapper.parent.mkdir()
+    wrapper.write_text(f'#!/bin/sh\nexec {shlex.join(program)} "$@"\n')
+    wrapper.chmod(0o755)
+    entries = demo.demo_catalogue(running.server_ports)
+    (directory / "demo.yaml").write_text(yaml.safe_dump_all(entries))
+    for place in running.places.values():
+        ports = running.ports[place.name]
+        peers = [
+            f"ws://127.0.0.1:{running.ports[other].peer}"
+            for other in running.places
+            if other != place.name
+        ]
+        settings = {
+            "NAME": place.name,
+            "AVAILABILITY_ZONE": place.availability_zone,
+            "REGION": place.region,
+            "LISTEN_ADDRESS": "127.0.0.1",
+            "ADVERTISE_ADDRESS": "127.0.0.1",
+            "URGENT_PORT": ports.callers[core.Rank.URGENT],
+            "INTERACTIVE_PORT": ports.callers[core.Rank.INTERACTIVE],
+            "EXPORT_PORT": ports.callers[core.Rank.EXPORT],
+            "PEER_PORT": ports.peer,
+            "OPERATOR_PORT": ports.operator,
+            "STORE_URL": running.store_url,
+            "CLUSTER_SECRET": fleet.SECRET,
+            "PEER": " ".join(peers),
+            "LOOKUP_KEEP_S": LOOKUP_KEEP_S,
+        }
+        (directory / f"{place.name}.env").write_text(
+            "".join(
+                f"SAMPHIRELUG_{key}={shlex.quote(str(value))}\n"
+                for key, value in settings.items()
+            )
+        )
+    for name, process in running.processes.items():
+        (directory / f"{name}.pid").write_text(f"{process.pid}\n")
+    urls = [running.operator_url(name) for name in running.places]
+    server = f"http://127.0.0.1:{running.server_ports['tallinn-a-1']}"
+    return {
+        **running.environment([sys.executable]),
+        "PATH": f"{wrapper.parent}:{os.environ['PATH']}",
+        "SAMPHIRELUG_STORE_URL": running.store_url,
+        "SAMPHIRELUG_ENTRY_HOST_URL": " ".join(urls),
+        "TALLINN": running.caller_url("eh-tallinn", core.Rank.INTERACTIVE),
+        "TALLINN_EXPORT": running.caller_url("eh-tallinn", core.Rank.EXPORT),
+        "TALLINN_2": running.caller_url("eh-tallinn-2", core.Rank.INTERACTIVE),
+        "TARTU": running.caller_url("eh-tartu", core.Rank.INTERACTIVE),
+        "SERVER": server,
+    }
+
+
+async def carry_out(section: Section, *, shell: Shell, directory: str) -> None:
+    """Run a section's commands; MismatchError if one shows other output."""
+    print(f"\n## {section.title}", flush=True)
+    for name, content in section.files.items():
+        pathlib.Path(directory, name).write_text(content)
+    timer_service = timer.LoopTimerService()
+    for block in section.blocks:
+        end_s = timer_service.monotonic() + REPEAT_S
+        while True:
+            shown, mismatch = await _run_block(block, shell)
+            late = timer_service.monotonic() >= end_s
+            if not mismatch or not block.repeat or late:
+                break
+            await timer_service.sleep(REPEAT_PAUSE_S)
+        print(shown, end="", flush=True)
+        if mismatch:
+            raise MismatchError(mismatch)
+
+
+async def _run_block(block: Block, shell: Shell) -> tuple[str, str]:
+    """Return what was shown, and the first mismatch or nothing."""
+    checker = doctest.OutputChecker()
+    shown = ""
+    for command in block.commands:
+        try:
+            got = await asyncio.wait_for(
+                shell.run(command.text), COMMAND_TIMEOUT_S
+            )
+        except TimeoutError:
+            return shown, f"$ {command.text}\ndid not end"
+        shown += f"$ {command.text}\n{got}"
+        if not checker.check_output(command.expected, got, FLAGS):
+            return shown, (
+                f"$ {command.text}\nexpected:\n{command.expected}got:\n{got}"
+            )
+    return shown, ""
+
+
+async def walk(
+    *, first: int = 0, last: int = 99, program: list[str] | None = None
+) -> int:
+    """Carry out the sections in order; return how many were."""
+    sections = [
+        section
+        for section in read_page(PAGE.read_text())
+        # Section 1 starts the entry hosts, which all others need.
+        if section.number == 1 or first <= section.number <= last
+    ]
+    program = program or [sys.executable, "-m", "samphirelug"]
+    async with fleet.Fleet(places=demo.PLACES, program=program) as running:
+        for region, zones in demo.REGIONS.items():
+            names = [f"{zone}-{number}" for zone in zones for number in "12"]
+            await running.start_servers(f"servers-{region}", names)
+        directory = running.directory.name
+        shell = Shell(
+            directory=directory, environment=prepare(running, program)
+        )
+        try:
+            await shell.start()
+            for section in sections:
+                await carry_out(section, shell=shell, directory=directory)
+        except MismatchError:
+            for name in running.places:
+                print(f"{name}: {running.log_text(name)[-1500:]}")
+            raise
+        finally:
+            await shell.stop()
+            _kill_entry_hosts(running)
+    return len(sections)
+
+
+def _kill_entry_hosts(running: fleet.Fleet) -> None:
+    """End the entry hosts, which the shell has started."""
+    for name in running.places:
+        path = pathlib.Path(running.directory.name, f"{name}.pid")
+        if path.exists():
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(int(path.read_text()), signal.SIGKILL)
+
+
+def main(
+    first: int = typer.Option(0, help="first section to carry out"),
+    last: int = typer.Option(99, help="last section to carry out"),
+    binary: str = typer.Option("", help="samphirelug binary to use"),
+) -> None:
+    """Carry out the walk-throughs of docs/operators.md on loopback."""
+    program = None
+    if binary:
+        program = [sys.executable, str(pathlib.Path(binary).resolve())]
+    try:
+        count = asyncio.run(walk(first=first, last=last, program=program))
+    except MismatchError as error:
+        typer.echo(f"not as the page says:\n{error}", err=True)
+        raise typer.Exit(1) from None
+    except KeyboardInterrupt:
+        raise typer.Exit(130) from None
+    typer.echo(f"\n{count} walk-throughs went as the page says")
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -1,12 +1,20 @@
 """Test that the pages agree with the program."""
 
+import asyncio
 import pathlib
 import re
+import time
+from typing import Any
 
+import typer.main
+
+from samphirelug import __main__
 from samphirelug import result_codes
+from standins import walkthrough
 
 DOCS = pathlib.Path(__file__).parent.parent / "docs"
 ROW = re.compile(r"^\| (\d+) \| ([A-Z_]+) \| (\w+) \| (\d+|-) \| (\d+|-) \|")
+SETTING = re.compile(r"^\| `(--[a-z-]+)` \| `(\w+)` \| `?([^|`]+)`? \|", re.M)
 
 
 def test_result_code_table_matches_the_program() -> None:
@@ -24,3 +32,27 @@
             assert int(http_status) == code.http_status
         if exit_code != "-":
             assert int(exit_code) == code.exit_code
+
+
+def test_settings_table_matches_the_program() -> None:
+    """Guards against a setting that the page leaves out or has wrong."""
+    root: Any = typer.main.get_command(__main__.app)
+    run = root.commands["entry-host"].commands["run"]
+    expected = set()
+    for param in run.params:
+        if param.name == "help":
+            continue
+        default = "required" if param.required else str(param.default)
+        if param.multiple:
+            default = "none"
+        expected.add((param.opts[0], param.envvar, default))
+    page = (DOCS / "operators.md").read_text()
+    assert set(SETTING.findall(page)) == expected
+
+
+def test_walk_throughs_show_what_the_page_says() -> None:
+    """Guards against a page whose commands do not work as written."""
+    started_s = time.monotonic()
+    # The start, a change, a roll-back, a drain and a replacement.
+    assert asyncio.run(walkthrough.walk(last=5)) == 5
+    assert time.monotonic() - started_s < 60.0
