--- a/src/samphirelug/components/gateway/io_server.py
+++ b/src/samphirelug/components/gateway/io_server.py
@@ -124,14 +124,15 @@
     def _refuse(self, connection: socket.socket) -> None:
         code = result_codes.ResultCode.TOO_MANY_CONNECTIONS
         self.service.metrics.count_refusal(code, self.rank)
-        line, headers, body = rendering.render_refusal(
-            result_codes.Refusal(
-                code,
-                f"too many connections for {self.rank.label} work",
-                gateway_const.DEFAULT_RETRY_AFTER_S,
-            ),
-            "-",
+        refusal = result_codes.Refusal(
+            code,
+            f"too many connections for {self.rank.label} work",
+            gateway_const.DEFAULT_RETRY_AFTER_S,
         )
+        self.service.refusal_log.write(
+            refusal, rank=self.rank, work="-", request_id="-"
+        )
+        line, headers, body = rendering.render_refusal(refusal, "-")
         headers["Connection"] = "close"
         fields = "".join(f"{n}: {v}\r\n" for n, v in headers.get_all())
         head = f"HTTP/1.1 {line.code} {line.reason}\r\n{fields}\r\n"
--- a/src/samphirelug/helpers/logging.py
+++ b/src/samphirelug/helpers/logging.py
@@ -28,6 +28,8 @@
     root.setLevel(level)
     # A request refused in a flood must not cost a log line each.
     logging.getLogger("tornado.access").setLevel(logging.ERROR)
+    # It logs each malformed request and each body that came too slowly.
+    logging.getLogger("tornado.general").setLevel(logging.WARNING)
     logging.getLogger("websockets").setLevel(logging.WARNING)
 
 
--- a/standins/walkthrough.py
+++ b/standins/walkthrough.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import doctest
+import json
 import os
 import pathlib
 import re
@@ -250,6 +251,7 @@
             await shell.start()
             for section in sections:
                 await carry_out(section, shell=shell, directory=directory)
+            check_logs(running)
         except MismatchError:
             for name in running.places:
                 print(f"{name}: {running.log_text(name)[-1500:]}")
@@ -260,6 +262,18 @@
     return len(sections)
 
 
+def check_logs(running: fleet.Fleet) -> None:
+    """Check that logs are JSON and have no secret."""
+    for name in running.places:
+        for line in running.log_text(name).splitlines():
+            if fleet.SECRET in line:
+                raise MismatchError(f"{name} logs the secret: {line}")
+            try:
+                json.loads(line)
+            except ValueError:
+                raise MismatchError(f"{name} logs no JSON: {line}") from None
+
+
 def _kill_entry_hosts(running: fleet.Fleet) -> None:
     """End the entry hosts, which the shell has started."""
     for name in running.places:
