--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -71,7 +71,6 @@
     ) -> None:
         self.places = {place.name: place for place in places}
         # The command that starts samphirelug.
-        self.is_binary = program is not None
         self.program = program or [sys.executable, "-m", "samphirelug"]
         self.host_flags = host_flags or []
         self.timer = timer.LoopTimerService()
@@ -227,7 +226,7 @@
             *words,
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.PIPE,
-            env=self._environment(),
+            env=self.environment([*self.program, *words]),
         )
         out, err = await process.communicate()
         return process.returncode or 0, out.decode(), err.decode()
@@ -295,7 +294,7 @@
                 *words,
                 stdout=asyncio.subprocess.PIPE,
                 stderr=log,
-                env=self._environment(),
+                env=self.environment(words),
             )
         self.processes[name] = process
         if wait_ready:
@@ -310,9 +309,15 @@
         ports = free_ports(5)
         return HostPorts((ports[0], ports[1], ports[2]), ports[3], ports[4])
 
-    def _environment(self) -> dict[str, str]:
-        root = pathlib.Path(__file__).parent.parent
-        # A built binary has to run its own code and not the checkout's.
-        paths = [root] if self.is_binary else [root, root / "src"]
-        path = os.pathsep.join(str(each) for each in paths)
+    def environment(self, words: list[str]) -> dict[str, str]:
+        """Return the environment to start a command in."""
+        if words[: len(self.program)] == self.program and (
+            "-m" not in self.program
+        ):
+            # The one binary must find its libraries in itself alone.
+            return {**os.environ, "PYTHONUNBUFFERED": "1"}
+        # Without src/ the processes would run the source tree that the
+        # environment was set up for, which may be another work tree.
+        root = pathlib.Path(__file__).resolve().parent.parent
+        path = f"{root}:{root / 'src'}"
         return {**os.environ, "PYTHONPATH": path, "PYTHONUNBUFFERED": "1"}
