--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -22,6 +22,9 @@
 READY_TIMEOUT_S = 20.0
 PORT_RANGE = (12_000, 32_000)
 POLL_INTERVAL_S = 0.05
+# Ports that this process has given out; with some 70 processes' ports drawn
+# from the range, one in ten fleets would otherwise draw the same port twice.
+_GIVEN_PORTS: set[int] = set()
 
 
 class HostPlace(NamedTuple):
@@ -54,7 +57,8 @@
                 probe.bind(("127.0.0.1", port))
             except OSError:
                 continue
-        if port not in ports:
+        if port not in _GIVEN_PORTS:
+            _GIVEN_PORTS.add(port)
             ports.append(port)
     return ports
 
@@ -132,7 +136,12 @@
         )
 
     async def start_servers(
-        self, group: str, names: list[str], **options: object
+        self,
+        group: str,
+        names: list[str],
+        *,
+        module: str = "standins.backend_server",
+        **options: object,
     ) -> None:
         """Start one process that serves the named backend servers."""
         missing = [n for n in names if n not in self.server_ports]
@@ -150,7 +159,7 @@
             [
                 sys.executable,
                 "-m",
-                "standins.backend_server",
+                module,
                 "--servers",
                 pairs,
                 *flags,
@@ -286,6 +295,16 @@
             return False
         return response.code == 200
 
+    async def start_module(
+        self, name: str, module: str, *words: str, wait_ready: bool = False
+    ) -> None:
+        """Start a Python module of this tree as a process."""
+        await self._spawn(
+            name,
+            [sys.executable, "-m", module, *words],
+            wait_ready=wait_ready,
+        )
+
     async def _spawn(
         self, name: str, words: list[str], *, wait_ready: bool
     ) -> None:
