Share a region among its own entry hosts

Cause: the seat keeper asks for the hosts of a region, and the wiring read the argument as the name of a group, so that every entry host counted as a host of every region: each region's units were divided among the whole fleet, and a lone host of a region held 4 of its 12 units. Ruled out: slow convergence of the seats (unchanged after 8 s) and the adoption of regions without hosts. Change: the wiring answers for a region; a region whose hosts are not heard yet, or were lost within 30 s, keeps the last known ones, so that other hosts do not take its shares at each start.

--- a/src/samphirelug/entry_host.py
+++ b/src/samphirelug/entry_host.py
@@ -6,6 +6,7 @@
 import random
 import secrets
 import signal
+from typing import NamedTuple
 
 from tornado import netutil
 
@@ -48,6 +49,18 @@
 # Upper bound of the last steps of a planned stop.
 STOP_MARGIN_S = 5.0
 IN_FLIGHT_POLL_S = 0.05
+# Hosts of another region take over its shares this long after its last host
+# was heard.
+ADOPT_AFTER_S = 30.0
+# Stands for the hosts of a region before any was heard; not a valid name.
+UNHEARD_HOST = "?"
+
+
+class LastHosts(NamedTuple):
+    """Hold the entry hosts that a region had, and when."""
+
+    names: frozenset[str]
+    at_s: float
 
 
 class EntryHostProcess:
@@ -62,6 +75,7 @@
         self.lag = loop_lag.LoopLagMonitor(timer_service=self.timer)
         self.state = core.EntryHostState.STARTING
         self.refusing_new_work = False
+        self.last_hosts_of: dict[str, LastHosts] = {}
         self.stop_requested = asyncio.Event()
         self.tasks: set[asyncio.Task[None]] = set()
         self.listeners: list[io_server.RankListener] = []
@@ -266,14 +280,26 @@
             sightings=self.health.sightings(),
         )
 
-    def hosts_of(self, group: str) -> frozenset[str]:
-        """Return the entry hosts that divide a group of quota keys."""
-        known = [peer.heartbeat.host for peer in self.mesh.live_peers()]
-        known.append(self.host)
-        regions = frozenset(group.partition("/")[2].split("+"))
-        near = [host for host in known if host.zone.region in regions]
-        # A region without entry hosts of its own is served by all others.
-        return frozenset(host.name for host in near or known)
+    def hosts_of(self, region: str) -> frozenset[str]:
+        """Return the entry hosts of a region; empty once it has none.
+
+        A region whose hosts have not been heard yet or were lost only now
+        keeps those last known, since other hosts would otherwise take its
+        shares at each start and give them back slowly.
+        """
+        hosts = [peer.heartbeat.host for peer in self.mesh.live_peers()]
+        hosts.append(self.host)
+        names = frozenset(
+            host.name for host in hosts if host.zone.region == region
+        )
+        now = self.timer.monotonic()
+        if names:
+            self.last_hosts_of[region] = LastHosts(names, now)
+            return names
+        last = self.last_hosts_of.get(
+            region, LastHosts(frozenset((UNHEARD_HOST,)), self.started_at_s)
+        )
+        return last.names if now - last.at_s < ADOPT_AFTER_S else names
 
     def region_of_zone(self, zone: str) -> str | None:
         """Return the region of an availability zone of the catalogue."""
