--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -73,6 +73,8 @@
     name: str
     effect: str
     entry_host: str
+    # Entry hosts tried in the last repetition.
+    attempts: int
     repeats: int
     wrong: bool
     once: bool
@@ -207,6 +209,7 @@
                 name=result.name,
                 effect=result.effect,
                 entry_host=result.entry_host,
+                attempts=result.attempts,
                 repeats=repeats,
                 wrong=found.status == 200
                 and bool(
