Collect the hosts for look-ups once a period, not for each place

Cause: each look-up of a work entry and place not asked for in the last 0.25 s built a heartbeat of its own host. Change: answers of one period share the collected heartbeats and end with them, so that no answer is older than before.

--- a/src/samphirelug/components/steering/lookup.py
+++ b/src/samphirelug/components/steering/lookup.py
@@ -46,6 +46,18 @@
     until_s: float
 
 
+class Candidates(NamedTuple):
+    """Keep what peers last told; answers of one period share it.
+
+    Collecting it costs more than ordering it, and in a flood every work
+    entry and place is asked for in each period.
+    """
+
+    beats: tuple[peers_model.Heartbeat, ...]
+    view: catalogue_view.CatalogueView
+    until_s: float
+
+
 class LookupPlanner:
     """Order the entry hosts that serve, for each work entry and place."""
 
@@ -66,6 +78,7 @@
         self.own_heartbeat = own_heartbeat
         self.timer = timer
         self.cache: dict[tuple[str, str], CachedAnswer] = {}
+        self.candidates: Candidates | None = None
         # By host: the position that it stands still at, and since when.
         self.behind: dict[str, tuple[int, float]] = {}
         self.builds = 0
@@ -124,7 +137,8 @@
                 0.0,
             )
         rank = entry["work_class"].rank
-        beats = self._serving()
+        candidates = self._candidates(view)
+        beats = list(candidates.beats)
         if not beats:
             return _refuse(
                 result_codes.ResultCode.NO_ENTRY_HOST,
@@ -172,10 +186,20 @@
                 clock_ms=first.clock_ms,
                 home_region=home,
                 view=view,
-                until_s=self.timer.monotonic() + const.LOOKUP_REUSE_S,
+                # Not later, or an answer would name a leaving host for longer.
+                until_s=candidates.until_s,
             )
         )
 
+    def _candidates(self, view: catalogue_view.CatalogueView) -> Candidates:
+        now = self.timer.monotonic()
+        known = self.candidates
+        if known is None or known.view is not view or now >= known.until_s:
+            known = self.candidates = Candidates(
+                tuple(self._serving()), view, now + const.LOOKUP_REUSE_S
+            )
+        return known
+
     def _serving(self) -> list[peers_model.Heartbeat]:
         own = self.own_heartbeat()
         now = self.timer.monotonic()
--- a/tests/components/steering/test_lookup.py
+++ b/tests/components/steering/test_lookup.py
@@ -77,6 +77,25 @@
     )
 
 
+def test_answers_of_one_period_share_one_heartbeat_and_its_end() -> None:
+    """Guards against a heartbeat made for each place, and stale answers."""
+    rig = Rig(beat("eh2", "tartu-a"))
+    made = []
+
+    def own_heartbeat() -> peers_model.Heartbeat:
+        made.append(rig.own)
+        return rig.own
+
+    rig.planner.own_heartbeat = own_heartbeat
+    rig.names("case-status", "tallinn-a")
+    rig.timer.advance(0.2)
+    assert "eh2" in rig.names("case-status", "tartu-a")
+    assert len(made) == 1
+    rig.mesh.beats = []
+    rig.timer.advance(0.1)
+    assert rig.names("case-status", "tartu-a") == ["eh1"]
+
+
 def test_rank_that_waits_everywhere_is_refused_at_the_look_up() -> None:
     """Guards against callers sent to queues that refuse them."""
     rig = Rig(beat("eh2", "tartu-a", wait_s=(0.0, 0.0, 6.0)))
