--- a/src/samphirelug/components/steering/lookup.py
+++ b/src/samphirelug/components/steering/lookup.py
@@ -9,6 +9,7 @@
 from returns.result import Success
 import xxhash
 
+from samphirelug.components.admission import scheduler
 from samphirelug.components.catalogue import view as catalogue_view
 from samphirelug.components.peers import mesh as peers_mesh
 from samphirelug.components.peers import model as peers_model
@@ -46,6 +47,18 @@
     until_s: float
 
 
+class Candidates(NamedTuple):
+    """Keep what peers last told; answers of one period share it.
+
+    Collecting it costs more than ordering it, and in a flood every work
+    entry and place is asked for in each period.
+    """
+
+    beats: tuple[peers_model.Heartbeat, ...]
+    view: catalogue_view.CatalogueView
+    until_s: float
+
+
 class LookupPlanner:
     """Order the entry hosts that serve, for each work entry and place."""
 
@@ -66,6 +79,7 @@
         self.own_heartbeat = own_heartbeat
         self.timer = timer
         self.cache: dict[tuple[str, str], CachedAnswer] = {}
+        self.candidates: Candidates | None = None
         # By host: the position that it stands still at, and since when.
         self.behind: dict[str, tuple[int, float]] = {}
         self.builds = 0
@@ -124,14 +138,20 @@
                 0.0,
             )
         rank = entry["work_class"].rank
-        beats = self._serving()
+        candidates = self._candidates(view)
+        beats = list(candidates.beats)
         if not beats:
             return _refuse(
                 result_codes.ResultCode.NO_ENTRY_HOST,
                 "no entry host is serving",
                 1.0,
             )
-        least_s = min(beat.wait_s[rank] for beat in beats)
+        service = entry["backend_service"]
+        waits = {
+            beat.host.name: _wait_s(view, beat, rank, service)
+            for beat in beats
+        }
+        least_s = min(waits.values())
         bound_s = min(
             const.LOOKUP_WAIT_S, const.LOOKUP_WAIT_PART * entry["deadline_s"]
         )
@@ -144,9 +164,9 @@
         self.builds += 1
         beats.sort(
             key=lambda beat: (
-                beat.wait_s[rank] > bound_s,
+                waits[beat.host.name] > bound_s,
                 *_distance(view, home, place, beat.host.zone),
-                self._draw(beat, entry["backend_service"]),
+                self._draw(beat, service),
             )
         )
         first = beats[0]
@@ -172,10 +192,20 @@
                 clock_ms=first.clock_ms,
                 home_region=home,
                 view=view,
-                until_s=self.timer.monotonic() + const.LOOKUP_REUSE_S,
+                # Not later, or an answer would name a leaving host for longer.
+                until_s=candidates.until_s,
             )
         )
 
+    def _candidates(self, view: catalogue_view.CatalogueView) -> Candidates:
+        now = self.timer.monotonic()
+        known = self.candidates
+        if known is None or known.view is not view or now >= known.until_s:
+            known = self.candidates = Candidates(
+                tuple(self._serving()), view, now + const.LOOKUP_REUSE_S
+            )
+        return known
+
     def _serving(self) -> list[peers_model.Heartbeat]:
         own = self.own_heartbeat()
         now = self.timer.monotonic()
@@ -225,6 +255,31 @@
         return -math.log((digest + 1) / (2**64 + 1)) / free
 
 
+def _wait_s(
+    view: catalogue_view.CatalogueView,
+    beat: peers_model.Heartbeat,
+    rank: core.Rank,
+    service: str,
+) -> float:
+    """Return the wait for a rank at a host, none where it has free slots.
+
+    The heartbeat's wait is the longest of the rank: a flood of one work
+    entry must not refuse those of a service that has room.
+    """
+    for room in beat.headroom:
+        region = view.regions.get(room.region)
+        if room.service != service or region is None:
+            continue
+        reserved = sum(
+            int(scheduler.part_of(region["guaranteed"], other) * room.held)
+            for other in core.Rank
+            if other < rank
+        )
+        if room.free > reserved:
+            return 0.0
+    return beat.wait_s[rank]
+
+
 def _distance(
     view: catalogue_view.CatalogueView,
     home: str,
