Run histories with the wiring's own hosts_of

Cause: the harness replaced EntryHostProcess.hosts_of, since the wiring read a region's name as that of a group.

Ruled out: keeping the replacement, which would hide faults of the wiring.

Change: the harness runs the wiring's own method.

After: all 23 tests of tests/history pass.

--- a/tests/history/hosts.py
+++ b/tests/history/hosts.py
@@ -312,6 +312,7 @@
         self.lag = loop_lag.LoopLagMonitor(timer_service=self.timer)
         self.state = core.EntryHostState.STARTING
         self.refusing_new_work = False
+        self.last_hosts_of = {}
         self.stop_requested = asyncio.Event()
         self.tasks = set()
         self.accepting = True
@@ -353,19 +354,6 @@
         if not self.gate.dead:
             self.world.ended(self, planned=True)
 
-    def hosts_of(self, group: str) -> frozenset[str]:
-        """Return the entry hosts of a region, which SeatKeeper asks for.
-
-        The wiring's own method takes the name of a group instead. It finds
-        no host in any region then, and returns all hosts of the fleet.
-        """
-        hosts = [view.heartbeat.host for view in self.mesh.live_peers()]
-        return frozenset(
-            host.name
-            for host in (*hosts, self.host)
-            if host.zone.region == group
-        )
-
     def _on_catalogue(self) -> None:
         super()._on_catalogue()
         self.note_state()
