--- a/src/samphirelug/components/admission/controller.py
+++ b/src/samphirelug/components/admission/controller.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 import itertools
 import math
 from typing import NamedTuple
@@ -17,6 +18,7 @@
 from samphirelug.components.admission import ports
 from samphirelug.components.admission import queue
 from samphirelug.components.admission import scheduler
+from samphirelug.components.backend import model as backend_model
 from samphirelug.components.catalogue import model as catalogue_model
 from samphirelug.components.catalogue import view as catalogue_view
 from samphirelug.components.metrics import registry
@@ -182,10 +184,12 @@
         ended: model.PermitEnd,
         request: core.CallerRequest,
         answer_bytes: int,
+        traffic: backend_model.Traffic | None = None,
     ) -> None:
         """End a permit; a second call has no effect.
 
-        Give 0 answer bytes when the request was certainly not sent.
+        Give 0 answer bytes when the request was certainly not sent. Without
+        the traffic, all bytes reserved for the request count as sent.
         """
         opened = self.open.pop((permit.source, permit.hold_id), None)
         if opened is None:
@@ -206,7 +210,14 @@
                     permit, ended=ended, deadline_at_s=request.deadline_at_s
                 )
             else:
-                self._release(permit, opened, end_s, orphaned, answer_bytes)
+                here = self.host.zone.region
+                back = limits.link_key(permit.bundle.region, here)
+                sizes = {back: answer_bytes}
+                if traffic is not None:
+                    there = limits.link_key(here, permit.bundle.region)
+                    sizes[there] = traffic.sent_bytes
+                    sizes[back] = traffic.received_bytes
+                self._release(permit, opened, end_s, orphaned, sizes)
         finally:
             self._paused = False
         if self._woken or permit.source is model.PermitSource.LOAN:
@@ -257,6 +268,7 @@
         view = self.catalogue.view
         work = view.works.get(request.work)
         bundles: list[quota_model.Bundle] = []
+        duration_s = quota_const.LOAN_S
         if work is not None:
             self._slots.clear()
             service = work["backend_service"]
@@ -265,12 +277,18 @@
             wanted = min(request.bundles_wanted, spare, const.LEND_MAX_BUNDLES)
             for number in range(1, wanted + 1):
                 bundle = self._lend_one(
-                    view, work, request, loan_id=loan_id, number=number
+                    view, work, request, loan_id, number, duration_s
                 )
+                if bundle is None and number == 1:
+                    # Units that are borrowed themselves have less time left.
+                    duration_s /= 2.0
+                    bundle = self._lend_one(
+                        view, work, request, loan_id, number, duration_s
+                    )
                 if bundle is None:
                     break
                 bundles.append(bundle)
-        return peers_model.Grant(loan_id, tuple(bundles), quota_const.LOAN_S)
+        return peers_model.Grant(loan_id, tuple(bundles), duration_s)
 
     def grant_units(
         self, request: peers_model.UnitRequest, *, borrower: str
@@ -281,7 +299,9 @@
         for key, amount in request.units:
             reserve = self._reserve(key, core.Rank.EXPORT, self.ledger.usable)
             spare = max(0, self.ledger.free(key) - reserve)
-            lent = min(amount, math.ceil(spare * (1 - const.LEND_KEEP_PART)))
+            # Nothing is kept back, since only a host that needs more than
+            # its own share asks.
+            lent = min(amount, spare)
             if lent > 0:
                 units.append(quota_model.UnitAmount(key, lent))
         until_s = self.timer.monotonic() + quota_const.LOAN_S
@@ -560,13 +580,12 @@
         opened: OpenPermit,
         end_s: float,
         orphaned: bool,
-        answer_bytes: int,
+        sizes: Mapping[str, int],
     ) -> None:
-        back = limits.link_key(permit.bundle.region, self.host.zone.region)
         for key, reserved in opened.units:
             amount = reserved
-            if key == back and not orphaned:
-                amount = min(reserved, answer_bytes)
+            if key in sizes and not orphaned:
+                amount = min(reserved, sizes[key])
                 self.ledger.shrink(permit.hold_id, key, amount)
                 self.usage.add(key, opened.rank, amount - reserved)
             linger_s = self.ledger.linger_s(key) or 0.0
@@ -909,6 +928,10 @@
                 body_bytes=head.body_bytes,
                 count=flow.count,
             )
+            if block.code is Code.LINK_LIMIT and (
+                block.needed > self.ledger.usable(block.key)
+            ):
+                self.borrower.want_units(key=block.key, needed=block.needed)
 
     def _start_tick(self) -> None:
         if self._tick is None:
@@ -1005,9 +1028,9 @@
         view: catalogue_view.CatalogueView,
         work: catalogue_model.WorkEntry,
         request: peers_model.GrantRequest,
-        *,
         loan_id: str,
         number: int,
+        duration_s: float,
     ) -> quota_model.Bundle | None:
         servers = self.planner.servers_for(
             service=work["backend_service"],
@@ -1024,11 +1047,14 @@
             home_region=request.home_region,
             body_bytes=request.body_bytes,
         )
-        until_s = self.timer.monotonic() + quota_const.LOAN_S
+        until_s = self.timer.monotonic() + duration_s
         if self.ledger.lend(
             bundle, loan_id=loan_id, bundle_number=number, until_s=until_s
         ):
             return bundle
+        for key, amount in bundle.units:
+            if key.startswith("link:") and self.ledger.usable(key) < amount:
+                self.borrower.want_units(key=key, needed=amount)
         return None
 
     def _loan_id(self, borrower: str) -> str:
--- a/src/samphirelug/components/peers/io_mesh.py
+++ b/src/samphirelug/components/peers/io_mesh.py
@@ -151,6 +151,8 @@
         )
         self._planned: topology.Plan | None = None
         self._planned_at_s = float("-inf")
+        # Members that the plan was made from.
+        self._planned_for: tuple[int, frozenset[str]] | None = None
         self.relay = peer_relay.Relay(own=host)
         self._handlers: dict[type, mesh.Handler] = {}
         self._pending: dict[int, _PendingRequest] = {}
@@ -169,6 +171,9 @@
         self._relay_subscription: timer_helper.Subscription | None = None
         self._server: server.Server | None = None
         self._last_heartbeat_s = float("-inf")
+        # Heartbeat whose amounts were sent last.
+        self._amounts_of: model.Heartbeat | None = None
+        self._amounts_at_s = float("-inf")
         self._early: timer_helper.Subscription | None = None
         self._stopped = False
 
@@ -227,7 +232,7 @@
     def set_known_hosts(self, hosts: Iterable[core.EntryHost]) -> None:
         """Replace the hosts that the platform's list names."""
         self.membership.set_listed(hosts, now=self.timer.monotonic())
-        self._planned = None
+        self._planned_at_s = float("-inf")
         self._update_dialers()
 
     def is_watcher(self) -> bool:
@@ -335,10 +340,21 @@
                 )
             return
         self._last_heartbeat_s = now
-        beat = self.heartbeat()
+        beat = self._thin_out(self.heartbeat(), now)
         for connection in self.connections.values():
             connection.put_heartbeat(beat)
 
+    def _thin_out(self, beat: model.Heartbeat, now: float) -> model.Heartbeat:
+        """Repeat the last amounts until new ones are due."""
+        last = self._amounts_of
+        due_s = self._amounts_at_s + const.AMOUNTS_INTERVAL_S
+        if last is None or now >= due_s or self._mesh_is_full():
+            self._amounts_of, self._amounts_at_s = beat, now
+            return beat
+        return beat._replace(
+            headroom=last.headroom, queued=last.queued, wait_s=last.wait_s
+        )
+
     def _send_early(self) -> None:
         self._early = None
         if not self._stopped:
@@ -361,14 +377,18 @@
         own_zone = self.host.zone.name
         own_watchers = plan.watchers_in(own_zone) or (self.host.name,)
         watcher = self.host.name in own_watchers
-        watchers, others = [], []
+        carriers, others = [], []
         for name, connection in self.connections.items():
             zone = connection.host.zone.name
-            if name in plan.watchers_in(zone):
-                watchers.append(name)
-            elif zone == own_zone and watcher:
+            watchers = plan.watchers_in(zone)
+            if name in watchers[:1]:
+                carriers.append(name)
+            elif name in watchers or (zone == own_zone and watcher):
                 others.append(name)
-        self.relay.set_peers(watcher=watcher, watchers=watchers, others=others)
+        first = own_watchers[0] == self.host.name
+        self.relay.set_peers(
+            watcher=watcher, carrier=first, carriers=carriers, others=others
+        )
         for outgoing in self.relay.tick(
             own=self.heartbeat(),
             zone=(
@@ -377,7 +397,7 @@
                 if member.host.zone.name == own_zone
                 and (beat := member.heartbeat) is not None
             ),
-            first_watcher=own_watchers[0] == self.host.name,
+            first_watcher=first,
             now=now,
         ):
             self.send(outgoing.peer, outgoing.message)
@@ -454,11 +474,14 @@
     def _plan(self, now: float) -> topology.Plan:
         plan = self._planned
         if plan is None or now - self._planned_at_s >= const.PLAN_INTERVAL_S:
-            plan = topology.make_plan(
-                topology.Node(self.host.name, self.host.zone),
-                self.membership.candidates(now=now),
-            )
-            self._planned, self._planned_at_s = plan, now
+            members = self.membership.version, self.membership.missing(now=now)
+            if plan is None or members != self._planned_for:
+                plan = topology.make_plan(
+                    topology.Node(self.host.name, self.host.zone),
+                    self.membership.candidates(now=now),
+                )
+                self._planned, self._planned_for = plan, members
+            self._planned_at_s = now
         return plan
 
     def _update_dialers(self) -> None:
--- a/src/samphirelug/components/quota/seat_keeper.py
+++ b/src/samphirelug/components/quota/seat_keeper.py
@@ -12,6 +12,7 @@
 from returns.result import Success
 
 from samphirelug.components.catalogue import view as catalogue_view
+from samphirelug.components.quota import const
 from samphirelug.components.quota import ledger as quota_ledger
 from samphirelug.components.quota import limits as quota_limits
 from samphirelug.components.quota import model
@@ -297,6 +298,9 @@
             },
             expired=self._expired(state, now),
             leaving=state.leaving,
+            # The cap has been 0 since before this plan, so no request and
+            # no loan under this seat starts later.
+            free_after_s=state.hold_s if self.stopping else None,
         )
 
     def _may_plan(
@@ -312,11 +316,11 @@
 
     def _expired(self, state: GroupState, now: float) -> frozenset[str]:
         """Return the seats whose units nobody can still be using."""
+        held_s = self.settings.lease_s + state.hold_s
+        # The holder's clock may run slower than this one's.
+        drift_s = held_s * const.CLOCK_DRIFT / (1.0 - const.CLOCK_DRIFT)
         return state.tracker.expired(
-            now=now,
-            wait_s=self.settings.lease_s
-            + state.hold_s
-            + self.settings.margin_s,
+            now=now, wait_s=held_s + max(self.settings.margin_s, drift_s)
         )
 
     async def _read(self, state: GroupState) -> bool:
@@ -369,10 +373,12 @@
             }
         state.pending_on = state.revision
         state.pending_units = dict(units)
-        self._cap(state)
+        cap = self._cap(state)
+        if cap is not None:
+            self.ledger.cap(group=state.group, units=cap)
 
-    def _cap(self, state: GroupState) -> None:
-        """Keep units out of use that are being given back.
+    def _cap(self, state: GroupState) -> Mapping[str, int] | None:
+        """Return what may be used while units are being given back.
 
         Units above the fair share that are in use run out first. Without
         the cap a busy host would use them again and never give them back.
@@ -384,12 +390,11 @@
             caps.append(state.pending_units)
         if self._weigh(state).excess:
             caps.append(state.fair)
-        if caps:
-            units = {
-                key: min(cap.get(key, 0) for cap in caps)
-                for key in state.limits
-            }
-            self.ledger.cap(group=state.group, units=units)
+        if not caps:
+            return None
+        return {
+            key: min(cap.get(key, 0) for cap in caps) for key in state.limits
+        }
 
     def _adopt(
         self, state: GroupState, table: model.SeatTable, revision: int
@@ -432,8 +437,8 @@
             units=seat.units,
             limits=seat.limits,
             valid_until_s=sent_s + self.settings.lease_s,
+            cap=self._cap(state),
         )
-        self._cap(state)
 
     def _look_again(self, state: GroupState, now: float) -> None:
         """Look soon while units are missing or in surplus, then rarely."""
@@ -446,6 +451,10 @@
             wait_s = self._spread_s(state) * 2.0 ** min(doublings, 30)
             wait_s *= self.rng.uniform(0.5, 1.0)
             state.next_look_s = now + min(wait_s, renew_s)
+            # The units of a host that has stopped come free at a known time.
+            soon_s = self.rng.random() * self._spread_s(state)
+            free_at_s = max(now, state.tracker.next_free_s()) + soon_s
+            state.next_look_s = min(state.next_look_s, free_at_s)
             return
         state.looks = 0
         state.next_look_s = now + renew_s
--- a/src/samphirelug/components/quota/seats.py
+++ b/src/samphirelug/components/quota/seats.py
@@ -8,15 +8,18 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+import math
 from typing import Annotated
 from typing import Any
 from typing import NamedTuple
+from typing import NotRequired
 
 import pydantic
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
 from typing_extensions import TypedDict
+import xxhash
 
 from samphirelug.components.quota import const
 from samphirelug.components.quota import model
@@ -34,6 +37,7 @@
     # Index into the table's limits.
     limits: Amount
     units: list[Amount]
+    free_after_s: NotRequired[Annotated[float, pydantic.Field(ge=0.0)]]
 
 
 class SeatTableValue(TypedDict):
@@ -88,6 +92,8 @@
             "limits": limits.setdefault(row, len(limits)),
             "units": [seat.units.get(key, 0) for key in keys],
         }
+        if seat.free_after_s is not None:
+            seats[host]["free_after_s"] = seat.free_after_s
     return {
         "keys": keys,
         "limits": [list(row) for row in limits],
@@ -123,6 +129,7 @@
             renewal=seat["renewal"],
             units={key: units for key, units, _ in rows if units},
             limits={key: limit for key, units, limit in rows if units},
+            free_after_s=seat.get("free_after_s"),
         )
     return Success(model.SeatTable(group, seats))
 
@@ -138,15 +145,31 @@
 ) -> dict[str, int]:
     """Return a host's part of each limit when all hosts share evenly."""
     shares: dict[str, int] = {}
+    names = [name.encode() for name in hosts]
     for key, limit in limits.items():
         share, remainder = divmod(limit, len(hosts))
         if remainder:
-            order = rendezvous.rank_names(key=key, names=hosts)
-            share += order.index(host) < remainder
+            share += _place(key, host, hosts, names) < remainder
         shares[key] = share
     return shares
 
 
+def _place(
+    key: str, host: str, hosts: frozenset[str], names: list[bytes]
+) -> int:
+    """Return the host's place in rendezvous.rank_names, without sorting.
+
+    A table has hundreds of keys and hosts; ranking them all for each key
+    holds up the event loop for 20 ms.
+    """
+    prefix = f"{key}\0".encode()
+    weights = [xxhash.xxh64_intdigest(prefix + name) for name in names]
+    own = xxhash.xxh64_intdigest(prefix + host.encode())
+    if weights.count(own) != 1:
+        return rendezvous.rank_names(key=key, names=hosts).index(host)
+    return sum(map(own.__lt__, weights))
+
+
 def units_under(seat: model.Seat | None, key: str, limit: int) -> int:
     """Return what a seat's units are worth under a limit in force."""
     if seat is None:
@@ -190,6 +213,7 @@
     floors: Mapping[str, int],
     expired: frozenset[str],
     leaving: bool,
+    free_after_s: float | None = None,
 ) -> SeatPlan:
     """Plan the host's own seat, without the expired seats of others.
 
@@ -202,6 +226,7 @@
         for name, seat in table.seats.items()
         if name != host and name not in expired
     }
+    taken = _taken(others.values(), limits)
     units: dict[str, int] = {}
     unit_limits: dict[str, int] = {}
     for key in limits.keys() | (mine.units.keys() if mine else set()):
@@ -211,7 +236,7 @@
             share=0 if leaving else fair.get(key, 0),
             floor=floors.get(key, 0),
             mine=mine,
-            others=others.values(),
+            taken=taken.get(key, 0),
         )
         if amount:
             units[key] = amount
@@ -219,14 +244,20 @@
     seat: model.Seat | None = None
     if units or not leaving:
         seat = model.Seat(
-            host, incarnation, address, renewal, units, unit_limits
+            host,
+            incarnation,
+            address,
+            renewal,
+            units,
+            unit_limits,
+            free_after_s,
         )
         others[host] = seat
     same = (
         seat is not None
         and mine is not None
-        and (seat.incarnation, seat.units, seat.limits)
-        == (mine.incarnation, mine.units, mine.limits)
+        and seat._replace(renewal=0, address="")
+        == mine._replace(renewal=0, address="")
     )
     return SeatPlan(
         table=model.SeatTable(table.group, others),
@@ -235,6 +266,25 @@
     )
 
 
+def _taken(
+    others: Iterable[model.Seat], limits: Mapping[str, int]
+) -> dict[str, int]:
+    """Return what the seats of others take of each limit in force.
+
+    Rounded up, so that the weights never add up to more than 1.
+    """
+    taken = dict.fromkeys(limits, 0)
+    for seat in others:
+        limits_then = seat.limits
+        for key, units in seat.units.items():
+            limit, limit_then = limits.get(key, 0), limits_then[key]
+            if limit == limit_then:
+                taken[key] += units
+            elif limit:
+                taken[key] -= -units * limit // limit_then
+    return taken
+
+
 def _plan_key(
     key: str,
     *,
@@ -242,17 +292,11 @@
     share: int,
     floor: int,
     mine: model.Seat | None,
-    others: Iterable[model.Seat],
+    taken: int,
 ) -> tuple[int, int]:
     have = mine.units.get(key, 0) if mine else 0
     have_limit = mine.limits.get(key, limit) if mine else limit
     scaled = units_under(mine, key, limit)
-    # Rounded up, so that the weights never add up to more than 1.
-    taken = sum(
-        -(-seat.units[key] * limit // seat.limits[key])
-        for seat in others
-        if key in seat.units
-    )
     target = min(share, max(scaled, limit - taken))
     floor = min(floor, have)
     if floor <= target:
@@ -270,6 +314,7 @@
     def __init__(self) -> None:
         # Host to incarnation, renewal counter and time first seen.
         self.seen: dict[str, tuple[str, int, float]] = {}
+        self.free_after_s: dict[str, float] = {}
 
     def observe(self, table: model.SeatTable, *, now: float) -> None:
         """Record a table that was read from the store before now."""
@@ -281,11 +326,33 @@
             else:
                 seen[host] = (seat.incarnation, seat.renewal, now)
         self.seen = seen
+        self.free_after_s = {
+            host: seat.free_after_s / (1.0 - const.CLOCK_DRIFT)
+            for host, seat in table.seats.items()
+            if seat.free_after_s is not None
+        }
 
     def expired(self, *, now: float, wait_s: float) -> frozenset[str]:
-        """Return the hosts whose counter stood still for wait_s."""
+        """Return the hosts whose units nobody can still be using.
+
+        Their counter stood still for wait_s, or for the time that a holder
+        that has stopped gave for its units.
+        """
         return frozenset(
             host
             for host, (_, _, since_s) in self.seen.items()
-            if now - since_s >= wait_s
+            if now - since_s >= min(wait_s, self._free_after(host))
         )
+
+    def next_free_s(self) -> float:
+        """Return when the units of a stopped holder come free next."""
+        return min(
+            (
+                self.seen[host][2] + wait_s
+                for host, wait_s in self.free_after_s.items()
+            ),
+            default=math.inf,
+        )
+
+    def _free_after(self, host: str) -> float:
+        return self.free_after_s.get(host, math.inf)
--- a/src/samphirelug/entry_host.py
+++ b/src/samphirelug/entry_host.py
@@ -8,6 +8,7 @@
 import random
 import secrets
 import signal
+from typing import NamedTuple
 
 from tornado import netutil
 
@@ -50,6 +51,18 @@
 # Upper bound of the last steps of a planned stop.
 STOP_MARGIN_S = 5.0
 IN_FLIGHT_POLL_S = 0.05
+# Hosts of another region take over its shares this long after its last host
+# was heard.
+ADOPT_AFTER_S = 30.0
+# Stands for the hosts of a region before any was heard; not a valid name.
+UNHEARD_HOST = "?"
+
+
+class LastHosts(NamedTuple):
+    """Hold the entry hosts that a region had, and when."""
+
+    names: frozenset[str]
+    at_s: float
 
 
 class EntryHostProcess:
@@ -64,6 +77,7 @@
         self.lag = loop_lag.LoopLagMonitor(timer_service=self.timer)
         self.state = core.EntryHostState.STARTING
         self.refusing_new_work = False
+        self.last_hosts_of: dict[str, LastHosts] = {}
         self.stop_requested = asyncio.Event()
         self.tasks: set[asyncio.Task[None]] = set()
         self.listeners: list[io_server.RankListener] = []
@@ -285,12 +299,25 @@
         )
 
     def hosts_of(self, region: str) -> frozenset[str]:
-        """Return the live entry hosts of a region, with this one."""
-        known = [peer.heartbeat.host for peer in self.mesh.live_peers()]
-        known.append(self.host)
-        return frozenset(
-            host.name for host in known if host.zone.region == region
+        """Return the entry hosts of a region; empty once it has none.
+
+        A region whose hosts have not been heard yet or were lost only now
+        keeps those last known, since other hosts would otherwise take its
+        shares at each start and give them back slowly.
+        """
+        hosts = [peer.heartbeat.host for peer in self.mesh.live_peers()]
+        hosts.append(self.host)
+        names = frozenset(
+            host.name for host in hosts if host.zone.region == region
+        )
+        now = self.timer.monotonic()
+        if names:
+            self.last_hosts_of[region] = LastHosts(names, now)
+            return names
+        last = self.last_hosts_of.get(
+            region, LastHosts(frozenset((UNHEARD_HOST,)), self.started_at_s)
         )
+        return last.names if now - last.at_s < ADOPT_AFTER_S else names
 
     def region_of_zone(self, zone: str) -> str | None:
         """Return the region of an availability zone of the catalogue."""
@@ -435,6 +462,11 @@
         self, sender: str, message: peers_model.Message
     ) -> peers_model.Message:
         assert isinstance(message, peers_model.UnitRequest)
+        if any(
+            self.borrower.is_collecting(unit.key) for unit in message.units
+        ):
+            # Two hosts that pass each other their units both lack them.
+            return peers_model.UnitGrant("", (), 0.0)
         return self.admission.grant_units(message, borrower=sender)
 
     def _on_listed_servers(
