Give every unreadable request a code, and share what tests simulate

Cause: HEADERS_TOO_LARGE was in the code table and could never be returned, and a malformed request got an answer without a code; benchmarks imported simulations from the tests; above 16 hosts a host counted only the hosts that it hears, so its share of a region was too large. Ruled out: a parser of our own; the server's bare answer is replaced where it is written, and header blocks up to 64 KiB are read and then refused. Change: both codes are returned and tested; simulations and checks that benchmarks use are in standins/; the listed hosts count above 16. The count above 16 hosts has no test. Conclusion: each code that a caller is told of can be returned.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -39,10 +39,10 @@
 from samphirelug.components.store import model as store_model
 from samphirelug import core
 from samphirelug.helpers import timer as timer_helper
-from tests import builders
-from tests.components.admission import harness
-from tests.components.peers import fleet
-from tests.components.steering import fakes
+from standins import builders
+from standins.simulation import admission as harness
+from standins.simulation import peers as fleet
+from standins.simulation import steering as fakes
 
 NODES = 6700
 ZONES = 218
--- a/benchmarks/capacity_faults.py
+++ b/benchmarks/capacity_faults.py
@@ -2,7 +2,7 @@
 
 from samphirelug.components.peers import const
 from samphirelug.components.peers import model
-from tests.components.peers import fleet
+from standins.simulation import peers as fleet
 
 SETTLE_S = 10.0
 
--- a/benchmarks/capacity_store.py
+++ b/benchmarks/capacity_store.py
@@ -8,8 +8,8 @@
 from samphirelug.components.peers import topology
 from samphirelug.components.quota import model as quota_model
 from samphirelug.helpers import rendezvous
-from tests.components.peers import fleet
-from tests.components.quota import simulation
+from standins.simulation import peers as fleet
+from standins.simulation import quota as simulation
 
 SETTINGS = quota_model.SeatSettings()
 # The look interval is drawn between 0.8 and 1.0 of renew_s.
--- a/benchmarks/deployment.py
+++ b/benchmarks/deployment.py
@@ -16,8 +16,8 @@
 from samphirelug import core
 from samphirelug.helpers import timer
 from standins import caller
+from standins import checks
 from standins import fleet
-from tests.system import checks
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
 TIMER = timer.LoopTimerService()
--- a/benchmarks/headroom.py
+++ b/benchmarks/headroom.py
@@ -6,7 +6,7 @@
 
 from benchmarks import deployment as deployment_module
 from benchmarks import load
-from tests.system import checks
+from standins import checks
 
 TIMER = deployment_module.TIMER
 STEP_S = 4.0
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -19,7 +19,7 @@
 
 from samphirelug.helpers import timer
 from standins import caller
-from tests.system import checks
+from standins import checks
 
 MAX_LATENCY_US = 120_000_000
 MAX_CLIENTS = 5000
--- a/src/samphirelug/components/admission/controller.py
+++ b/src/samphirelug/components/admission/controller.py
@@ -122,7 +122,7 @@
     async def admit(
         self, request: core.CallerRequest, *, excluded: frozenset[str]
     ) -> Result[model.Permit, result_codes.Refusal]:
-        """Return a permit as soon as units for the request can be had.
+        """Return a permit as units for the request can be had.
 
         Cancelling the task gives up. Fails with the code of the most
         specific cause; nothing has been sent then.
--- a/src/samphirelug/components/gateway/exchange.py
+++ b/src/samphirelug/components/gateway/exchange.py
@@ -19,6 +19,8 @@
 LOGGER = logging.getLogger(__name__)
 # Statuses whose answers have no body and no Content-Length.
 BODILESS = frozenset({204, 304})
+# Colon, space and line end of a header field.
+HEADER_FRAMING_BYTES = 4
 
 
 class CallerExchange(httputil.HTTPMessageDelegate):
@@ -59,6 +61,19 @@
         self.in_flight = True
         self.service.in_flight += 1
         self.request_id = headers.get(const.HEADER_REQUEST_ID) or "-"
+        size = len(start_line.path) + sum(
+            len(name) + len(value) + HEADER_FRAMING_BYTES
+            for name, value in headers.get_all()
+        )
+        if size > const.MAX_HEADER_BYTES:
+            self._refuse(
+                result_codes.Refusal(
+                    result_codes.ResultCode.HEADERS_TOO_LARGE,
+                    f"header block is {size} bytes; allowed is "
+                    f"{const.MAX_HEADER_BYTES}",
+                )
+            )
+            return
         parsed = parsing.parse_route(start_line.method, start_line.path)
         if isinstance(parsed, Failure):
             self._refuse(parsed.failure())
--- a/src/samphirelug/components/gateway/io_server.py
+++ b/src/samphirelug/components/gateway/io_server.py
@@ -19,6 +19,8 @@
 from samphirelug import result_codes
 
 LOGGER = logging.getLogger(__name__)
+# What tornado writes for a request that it cannot parse.
+BARE_BAD_REQUEST = b"HTTP/1.1 400 Bad Request\r\n\r\n"
 
 
 class RankDelegate(httputil.HTTPServerConnectionDelegate):
@@ -41,6 +43,21 @@
         )
 
 
+class CallerStream(iostream.IOStream):
+    """Give the HTTP server's bare answer to a malformed request a code."""
+
+    def write(self, data: bytes | memoryview) -> asyncio.Future[None]:
+        """Write data, with a refusal in place of the bare answer."""
+        if data == BARE_BAD_REQUEST:
+            data = _render_closing(
+                result_codes.Refusal(
+                    result_codes.ResultCode.MALFORMED_REQUEST,
+                    "the request is not valid HTTP/1.1",
+                )
+            )
+        return super().write(data)
+
+
 class CountingServer(httpserver.HTTPServer):
     """Count open connections; HTTPServer tells its delegate of no close."""
 
@@ -77,7 +94,8 @@
             self.delegate,
             idle_connection_timeout=gateway_const.IDLE_TIMEOUT_S,
             body_timeout=gateway_const.BODY_TIMEOUT_S,
-            max_header_size=const.MAX_HEADER_BYTES,
+            # Larger than allowed, so that an exchange can answer with a code.
+            max_header_size=4 * const.MAX_HEADER_BYTES,
             max_body_size=const.MAX_BODY_BYTES,
         )
         loop = asyncio.get_running_loop()
@@ -112,7 +130,7 @@
             if self._is_full():
                 self._refuse(connection)
                 continue
-            stream = iostream.IOStream(
+            stream = CallerStream(
                 connection, max_buffer_size=2 * const.MAX_BODY_BYTES
             )
             self.server.handle_stream(stream, address)
@@ -132,12 +150,8 @@
         self.service.refusal_log.write(
             refusal, rank=self.rank, work="-", request_id="-"
         )
-        line, headers, body = rendering.render_refusal(refusal, "-")
-        headers["Connection"] = "close"
-        fields = "".join(f"{n}: {v}\r\n" for n, v in headers.get_all())
-        head = f"HTTP/1.1 {line.code} {line.reason}\r\n{fields}\r\n"
         try:
-            connection.send(head.encode() + body)
+            connection.send(_render_closing(refusal))
             # Closing at once with unread input would reset the connection
             # and could destroy the refusal before the caller reads it.
             connection.shutdown(socket.SHUT_WR)
@@ -147,3 +161,12 @@
             when_s=self.service.timer.monotonic() + 1.0,
             callback=connection.close,
         )
+
+
+def _render_closing(refusal: result_codes.Refusal) -> bytes:
+    """Return a whole answer after which the connection closes."""
+    line, headers, body = rendering.render_refusal(refusal, "-")
+    headers["Connection"] = "close"
+    fields = "".join(f"{n}: {v}\r\n" for n, v in headers.get_all())
+    head = f"HTTP/1.1 {line.code} {line.reason}\r\n{fields}\r\n"
+    return head.encode() + body
--- a/src/samphirelug/components/peers/relay.py
+++ b/src/samphirelug/components/peers/relay.py
@@ -46,7 +46,7 @@
 
 
 class ZoneStatus(NamedTuple):
-    """Describe another zone as far as this host knows."""
+    """Describe another zone as this host knows."""
 
     summary: model.ZoneSummary
     lowest_revision: int
--- a/src/samphirelug/components/quota/ledger.py
+++ b/src/samphirelug/components/quota/ledger.py
@@ -357,7 +357,7 @@
     def give_back(self, loan_id: str) -> bool:
         """Stop using borrowed units; False while requests still need them.
 
-        The lender may use the units as soon as it hears of this, so all in
+        The lender may use the units as it hears of this, so all in
         use here must fit in the own units and those of other loans.
         """
         borrowing = self._borrowings.get(loan_id)
--- a/src/samphirelug/components/quota/seat_keeper.py
+++ b/src/samphirelug/components/quota/seat_keeper.py
@@ -174,7 +174,7 @@
             wanted[group] = hosts
         for other in view.regions:
             # The hosts of the nearest region that has any step in. With all
-            # regions, the table would be as long as the fleet.
+            # regions, the table would be as the fleet.
             if other == region or self.hosts_of(other):
                 continue
             nearest = next(
--- a/src/samphirelug/entry_host.py
+++ b/src/samphirelug/entry_host.py
@@ -24,6 +24,7 @@
 from samphirelug.components.gateway import io_server
 from samphirelug.components.gateway import service
 from samphirelug.components.metrics import registry
+from samphirelug.components.peers import const as peers_const
 from samphirelug.components.peers import hosts
 from samphirelug.components.peers import io_mesh
 from samphirelug.components.peers import model as peers_model
@@ -307,6 +308,10 @@
         """
         hosts = [peer.heartbeat.host for peer in self.mesh.live_peers()]
         hosts.append(self.host)
+        listed = self.host_list.state.entry_hosts(self.region_of_zone)
+        if len(listed) > peers_const.FULL_MESH_MAX_HOSTS:
+            # Only some hosts of a large fleet are heard directly.
+            hosts.extend(listed)
         names = frozenset(
             host.name for host in hosts if host.zone.region == region
         )
--- /dev/null
+++ b/standins/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""Simulate parts on virtual time, for tests and benchmarks."""
--- a/tests/components/admission/harness.py
+++ b/standins/simulation/admission.py
@@ -26,7 +26,7 @@
 from samphirelug import core
 from samphirelug.helpers import timer as timer_helper
 from samphirelug import result_codes
-from tests import builders
+from standins import builders
 
 Outcome = Result[model.Permit, result_codes.Refusal]
 WORK_OF_RANK = ("file-claim", "case-status", "case-export")
--- a/tests/components/peers/fleet.py
+++ b/standins/simulation/peers.py
@@ -17,7 +17,7 @@
 from samphirelug.components.peers import topology
 from samphirelug import const as shared_const
 from samphirelug import core
-from tests import builders
+from standins import builders
 
 # Header of a websocket frame of 126 to 65,535 bytes, and mask of a client.
 FRAME_BYTES = 6
--- a/tests/components/quota/simulation.py
+++ b/standins/simulation/quota.py
@@ -33,7 +33,7 @@
 from samphirelug import core
 from samphirelug.helpers import timer as timer_helper
 from samphirelug import result_codes
-from tests import builders
+from standins import builders
 
 CODES = result_codes.ResultCode
 STEP_S = 0.25
@@ -208,7 +208,7 @@
         )
         self.catalogue = CatalogueHolder(world.view)
         self.ledger = quota_ledger.QuotaLedger(timer=self.timer)
-        # As admission does, units are used as soon as they may be free.
+        # As admission does, units are used as they may be free.
         self.ledger.on_free.append(self.load_in_step)
         self.mesh = FakeMesh(self)
         identity = builders.make_host(name, zone=zone)
@@ -372,7 +372,7 @@
         sender: str,  # noqa: ARG002
         message: peer_model.Message,
     ) -> peer_model.Message:
-        """Lend what is asked for, as far as it is free."""
+        """Lend what is asked for, as it is free."""
         assert isinstance(message, peer_model.GrantRequest)
         loan_id = f"{self.identity.incarnation}/{next(self.world.starts)}"
         lent: list[model.Bundle] = []
--- a/tests/components/admission/test_controller.py
+++ b/tests/components/admission/test_controller.py
@@ -17,9 +17,9 @@
 from samphirelug.components.quota import model as quota_model
 from samphirelug import core
 from samphirelug import result_codes
-from tests import builders
-from tests.components.admission import harness
-from tests.components.steering import fakes
+from standins import builders
+from standins.simulation import admission as harness
+from standins.simulation import steering as fakes
 
 Code = result_codes.ResultCode
 URGENT, INTERACTIVE, EXPORT = core.Rank
--- a/tests/components/admission/test_flood.py
+++ b/tests/components/admission/test_flood.py
@@ -5,7 +5,7 @@
 import pytest
 
 from samphirelug import core
-from tests.components.admission import harness
+from standins.simulation import admission as harness
 
 URGENT, INTERACTIVE, EXPORT = core.Rank
 CAPACITY_PER_S = 240.0
--- a/tests/components/backend/test_prober.py
+++ b/tests/components/backend/test_prober.py
@@ -13,7 +13,7 @@
 from samphirelug.components.catalogue import view as catalogue_view
 from samphirelug import core
 from samphirelug.helpers import timer
-from tests import builders
+from standins import builders
 
 PROBED = model.BackendFailure(model.FailureKind.NOT_SENT, "refused")
 
--- a/tests/components/catalogue/cluster.py
+++ b/tests/components/catalogue/cluster.py
@@ -17,8 +17,8 @@
 from samphirelug import core
 from samphirelug.helpers import timer as timer_helper
 from samphirelug import result_codes
+from standins import builders
 from standins import store as store_standin
-from tests import builders
 
 STEP_S = 0.1
 
--- a/tests/components/catalogue/test_schema.py
+++ b/tests/components/catalogue/test_schema.py
@@ -12,7 +12,7 @@
 from samphirelug.components.catalogue import schema
 from samphirelug.components.store import model as store_model
 from samphirelug import core
-from tests import builders
+from standins import builders
 
 
 def entries_of_small_view() -> dict[str, schema.Entry]:
--- a/tests/components/catalogue/test_state.py
+++ b/tests/components/catalogue/test_state.py
@@ -9,8 +9,8 @@
 from samphirelug.components.catalogue import schema
 from samphirelug.components.catalogue import state as catalogue_state
 from samphirelug import core
+from standins import builders
 from standins import store as store_standin
-from tests import builders
 
 KEYS = ("work/a", "work/b", "work/c")
 
--- a/tests/components/catalogue/test_sync.py
+++ b/tests/components/catalogue/test_sync.py
@@ -12,7 +12,7 @@
 from samphirelug.components.catalogue import state as catalogue_state
 from samphirelug.components.catalogue import sync
 from samphirelug import core
-from tests import builders
+from standins import builders
 from tests.components.catalogue import cluster as catalogue_cluster
 
 
--- a/tests/components/catalogue/test_writer.py
+++ b/tests/components/catalogue/test_writer.py
@@ -20,8 +20,8 @@
 from samphirelug import core
 from samphirelug.helpers import timer as timer_helper
 from samphirelug import result_codes
+from standins import builders
 from standins import store as store_standin
-from tests import builders
 
 Value = TypeVar("Value")
 CODES = result_codes.ResultCode
--- a/tests/components/execution/test_outcomes.py
+++ b/tests/components/execution/test_outcomes.py
@@ -14,7 +14,7 @@
 from samphirelug.helpers import timer
 from samphirelug import result_codes
 from samphirelug.result_codes import ResultCode
-from tests import builders
+from standins import builders
 
 HOST = builders.make_host()
 BUSY = result_codes.Refusal(ResultCode.OVERLOADED, "busy")
--- a/tests/components/execution/test_tokens.py
+++ b/tests/components/execution/test_tokens.py
@@ -5,7 +5,7 @@
 from samphirelug.components.execution import tokens
 from samphirelug.helpers import timer
 from samphirelug.result_codes import ResultCode
-from tests import builders
+from standins import builders
 
 
 def test_token_names_the_incarnation_and_its_clock() -> None:
--- a/tests/components/execution/world.py
+++ b/tests/components/execution/world.py
@@ -29,7 +29,7 @@
 from samphirelug import result_codes
 from samphirelug.result_codes import Effect
 from samphirelug.result_codes import ResultCode
-from tests import builders
+from standins import builders
 
 Admitted = Result[admission_model.Permit, result_codes.Refusal]
 Sent = Result[core.Answer, backend_model.BackendFailure]
--- a/tests/components/gateway/test_io_server.py
+++ b/tests/components/gateway/test_io_server.py
@@ -84,3 +84,27 @@
         await listener.close()
 
     asyncio.run(run())
+
+
+def test_requests_that_cannot_be_read_get_a_code() -> None:
+    """Guards against callers that are cut off without a reason."""
+
+    async def run(request: bytes) -> int:
+        listener = make_listener()
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", listener.port
+        )
+        writer.write(request)
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = int(head.lower().split(b"content-length: ")[1].split()[0])
+        body = json.loads(await reader.readexactly(length))
+        writer.close()
+        listener.stop_accepting()
+        await listener.close()
+        assert body["effect"] == "not_run"
+        return int(body["code"])
+
+    code = result_codes.ResultCode
+    assert asyncio.run(run(b"nonsense\r\n\r\n")) == code.MALFORMED_REQUEST
+    large = b"GET / HTTP/1.1\r\nHost: a\r\nX-A: %b\r\n\r\n" % (b"x" * 20_000)
+    assert asyncio.run(run(large)) == code.HEADERS_TOO_LARGE
--- a/tests/components/gateway/test_service.py
+++ b/tests/components/gateway/test_service.py
@@ -12,7 +12,7 @@
 from samphirelug import const
 from samphirelug import core
 from samphirelug.result_codes import Effect
-from tests import builders
+from standins import builders
 
 ROUTE = model.RunRoute("file-claim", "/x", "")
 
--- a/tests/components/peers/test_auth.py
+++ b/tests/components/peers/test_auth.py
@@ -7,7 +7,7 @@
 from samphirelug.components.peers import auth
 from samphirelug.components.peers import const
 from samphirelug.helpers import timer
-from tests import builders
+from standins import builders
 
 CLIENT = builders.make_host("eh1")
 SERVER = builders.make_host("eh2")
--- a/tests/components/peers/test_codec.py
+++ b/tests/components/peers/test_codec.py
@@ -15,7 +15,7 @@
 from samphirelug import const
 from samphirelug import core
 from samphirelug import result_codes
-from tests import builders
+from standins import builders
 from tests.components.peers import test_io_mesh
 
 HOST = builders.make_host()
--- a/tests/components/peers/test_hosts.py
+++ b/tests/components/peers/test_hosts.py
@@ -16,7 +16,7 @@
 from samphirelug import core
 from samphirelug.helpers import timer
 from samphirelug import result_codes
-from tests import builders
+from standins import builders
 
 CODE = result_codes.ResultCode
 
--- a/tests/components/peers/test_io_mesh.py
+++ b/tests/components/peers/test_io_mesh.py
@@ -20,7 +20,7 @@
 from samphirelug import core
 from samphirelug.helpers import timer
 from samphirelug import result_codes
-from tests import builders
+from standins import builders
 
 SECRET = "s" * 32
 
--- a/tests/components/peers/test_membership.py
+++ b/tests/components/peers/test_membership.py
@@ -8,7 +8,7 @@
 from samphirelug.components.peers import model
 from samphirelug.components.peers import topology
 from samphirelug import core
-from tests import builders
+from standins import builders
 from tests.components.peers import test_io_mesh
 
 OWN = builders.make_host("eh1")
--- a/tests/components/peers/test_relay.py
+++ b/tests/components/peers/test_relay.py
@@ -12,8 +12,8 @@
 from samphirelug.components.peers import model
 from samphirelug.components.peers import relay
 from samphirelug import core
-from tests import builders
-from tests.components.peers import fleet
+from standins import builders
+from standins.simulation import peers as fleet
 from tests.components.peers import test_io_mesh
 
 SIGHTING = model.Sighting("s1", "inc", True, 0)
--- a/tests/components/peers/test_send_queue.py
+++ b/tests/components/peers/test_send_queue.py
@@ -2,7 +2,7 @@
 
 from samphirelug.components.peers import const
 from samphirelug.components.peers import send_queue
-from tests import builders
+from standins import builders
 from tests.components.peers import test_io_mesh
 
 BEAT = test_io_mesh.make_heartbeat(builders.make_host())
--- a/tests/components/peers/test_topology.py
+++ b/tests/components/peers/test_topology.py
@@ -8,10 +8,10 @@
 from samphirelug.components.peers import topology
 from samphirelug import core
 from samphirelug.helpers import timer as timer_helper
+from standins import builders
+from standins.simulation import steering as fakes
 from standins import store
-from tests import builders
 from tests.components.peers import test_io_mesh
-from tests.components.steering import fakes
 
 
 def make_nodes(*, zones: int, per_zone: int) -> list[topology.Node]:
--- a/tests/components/quota/test_limits.py
+++ b/tests/components/quota/test_limits.py
@@ -5,7 +5,7 @@
 from samphirelug.components.quota import limits
 from samphirelug.components.quota import model
 from samphirelug.helpers import timer as timer_helper
-from tests import builders
+from standins import builders
 
 
 def test_every_key_of_a_bundle_has_a_limit_in_its_group() -> None:
--- a/tests/components/quota/test_link_bytes.py
+++ b/tests/components/quota/test_link_bytes.py
@@ -14,9 +14,9 @@
 from samphirelug import core
 from samphirelug.helpers import timer
 from samphirelug import result_codes
-from tests import builders
-from tests.components.admission import harness
-from tests.components.steering import fakes
+from standins import builders
+from standins.simulation import admission as harness
+from standins.simulation import steering as fakes
 
 OUT = "link:tallinn>tartu"
 BACK = "link:tartu>tallinn"
--- a/tests/components/quota/test_loans.py
+++ b/tests/components/quota/test_loans.py
@@ -13,7 +13,7 @@
 from samphirelug.components.quota import loans
 from samphirelug.components.quota import model
 from samphirelug import result_codes
-from tests.components.quota import simulation
+from standins.simulation import quota as simulation
 
 COMPLETE = admission_model.PermitEnd.COMPLETE
 ORPHANED = admission_model.PermitEnd.ORPHANED
--- a/tests/components/quota/test_seat_keeper.py
+++ b/tests/components/quota/test_seat_keeper.py
@@ -9,8 +9,8 @@
 
 from samphirelug.components.quota import model
 from samphirelug.components.quota import seats
+from standins.simulation import quota as simulation
 from standins import store as store_standin
-from tests.components.quota import simulation
 
 ZONES = {
     "eh1": "tallinn-a",
--- a/tests/components/steering/test_lookup.py
+++ b/tests/components/steering/test_lookup.py
@@ -5,10 +5,10 @@
 from samphirelug import core
 from samphirelug.helpers import timer as timer_helper
 from samphirelug import result_codes
-from tests import builders
-from tests.components.admission import harness
+from standins import builders
+from standins.simulation import admission as harness
 
-from tests.components.steering import fakes
+from standins.simulation import steering as fakes
 
 
 def beat(name: str, zone: str, **changes: object) -> peers_model.Heartbeat:
--- a/tests/components/steering/test_planner.py
+++ b/tests/components/steering/test_planner.py
@@ -1,7 +1,7 @@
 """Test the choice of regions and servers."""
 
 from samphirelug.components.backend import model as backend_model
-from tests.components.admission import harness
+from standins.simulation import admission as harness
 
 
 def first_choices(rig: harness.Harness, count: int) -> dict[str, int]:
--- a/tests/history/hosts.py
+++ b/tests/history/hosts.py
@@ -34,8 +34,8 @@
 from samphirelug.helpers import loop_lag
 from samphirelug import result_codes
 from samphirelug import settings
+from standins import builders
 from standins import store as store_standin
-from tests import builders
 from tests.history import kernel
 from tests.history import record
 
--- a/tests/history/world.py
+++ b/tests/history/world.py
@@ -23,8 +23,8 @@
 from samphirelug.components.store import model as store_model
 from samphirelug import const
 from samphirelug import core
+from standins import builders
 from standins import store as store_standin
-from tests import builders
 from tests.history import hosts as hosts_module
 from tests.history import kernel
 from tests.history import record
--- a/tests/system/harness.py
+++ b/tests/system/harness.py
@@ -6,9 +6,9 @@
 
 from samphirelug.helpers import timer
 from standins import caller
+from standins import checks
 from standins import demo
 from standins import fleet
-from tests.system import checks
 
 TIMER = timer.LoopTimerService()
 SERVER_NAMES = [
--- a/tests/system/test_processes.py
+++ b/tests/system/test_processes.py
@@ -6,9 +6,9 @@
 import signal
 
 from standins import caller
+from standins import checks
 from standins import demo
 from standins import fleet
-from tests.system import checks
 from tests.system import harness
 
 WORKS = ["file-claim", "case-status", "case-export"]
