--- a/src/samphirelug/components/backend/prober.py
+++ b/src/samphirelug/components/backend/prober.py
@@ -109,7 +109,7 @@
                 self.health.apply_report(result.unwrap())
                 return
             failure = result.failure()
-            LOG.info("probe of %s failed: %s", server.name, failure.detail)
+            LOG.debug("probe of %s failed: %s", server.name, failure.detail)
             if failure.kind is model.FailureKind.LEAVING:
                 self.health.apply_report(
                     model.HealthReport(server.name, True, 1.0, "")
--- a/src/samphirelug/components/execution/executor.py
+++ b/src/samphirelug/components/execution/executor.py
@@ -301,16 +301,18 @@
         # Set once an attempt may have run; no later refusal may then say
         # that the request was not run.
         unknown: result_codes.Refusal | None = None
+        # The last attempt's failure says more than that no server is left.
+        refused: result_codes.Refusal | None = None
         for number in range(1, const.MAX_ATTEMPTS + 1):
             admitted = await self.admission.admit(request, excluded=excluded)
             if isinstance(admitted, Failure):
-                return Failure(unknown or admitted.failure())
+                return Failure(unknown or refused or admitted.failure())
             permit = admitted.unwrap()
             sent = await self._send(request, work, permit, run)
             if isinstance(sent, Success):
                 return Success(sent.unwrap())
             failure = sent.failure()
-            refusal = _refusal_of(failure)
+            refusal = refused = _refusal_of(failure)
             if not failure.kind.certainly_not_run:
                 unknown = refusal
             retryable = failure.kind.certainly_not_run or (
--- a/src/samphirelug/components/peers/hosts.py
+++ b/src/samphirelug/components/peers/hosts.py
@@ -182,7 +182,9 @@
                 self.watched_revision = max(
                     self.watched_revision, listing.revision
                 )
-                return 0.0 if self.is_watcher() else self._until_poll()
+                if self.is_watcher() and self.watched_revision:
+                    return 0.0
+                return self._until_poll()
             case Failure(result_codes.Refusal() as refusal):
                 return self._until_retry(refusal)
         return const.HOST_LIST_RETRY_S
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -75,6 +75,7 @@
     ) -> None:
         self.places = {place.name: place for place in places}
         # The command that starts samphirelug.
+        self.is_binary = program is not None
         self.program = program or [sys.executable, "-m", "samphirelug"]
         self.host_flags = host_flags or []
         self.timer = timer.LoopTimerService()
