Select forwarded header fields in one place

Cause: the gateway and the backend client each had the list of fields that hold for one connection and the same selection. Ruled out: leaving it to the client alone; the gateway keeps the caller's own control fields out of the request that is stored with its token. Conclusion: same bytes on the wire.

--- a/src/samphirelug/components/backend/io_client.py
+++ b/src/samphirelug/components/backend/io_client.py
@@ -20,21 +20,9 @@
 from samphirelug.components.backend import model
 from samphirelug import const
 from samphirelug import core
+from samphirelug.helpers import http_fields
 from samphirelug.helpers import timer as timer_module
 
-HOP_BY_HOP = frozenset(
-    (
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    )
-)
 # Set by the client for the connection to the server. Expect is dropped
 # because the body is sent at once.
 REQUEST_OWN = frozenset(
@@ -312,22 +300,6 @@
             deadline.cancel()
 
 
-def forwarded(
-    headers: tuple[tuple[str, str], ...], *, dropped: frozenset[str]
-) -> tuple[tuple[str, str], ...]:
-    """Return the headers that may pass to the next connection."""
-    named = {
-        token.strip().lower()
-        for name, value in headers
-        if name.lower() == "connection"
-        for token in value.split(",")
-    }
-    barred = named | HOP_BY_HOP | dropped
-    return tuple(
-        (name, value) for name, value in headers if name.lower() not in barred
-    )
-
-
 def answer_headers(
     headers: httputil.HTTPHeaders, *, keep_length: bool
 ) -> tuple[tuple[str, str], ...]:
@@ -335,7 +307,7 @@
     dropped = ANSWER_OWN
     if not keep_length:
         dropped = dropped | {"content-length"}
-    return forwarded(tuple(headers.get_all()), dropped=dropped)
+    return http_fields.forwarded(headers.get_all(), dropped=dropped)
 
 
 def _request_headers(
@@ -346,7 +318,9 @@
     headers["Connection"] = "close"
     headers[const.HEADER_DEADLINE_MS] = str(max(1, int(left_s * 1000)))
     headers[const.HEADER_REQUEST_ID] = request.request_id
-    for name, value in forwarded(request.headers, dropped=REQUEST_OWN):
+    for name, value in http_fields.forwarded(
+        request.headers, dropped=REQUEST_OWN
+    ):
         headers.add(name, value)
     if request.body or request.method in BODY_METHODS:
         headers["Content-Length"] = str(len(request.body))
--- a/src/samphirelug/components/gateway/parsing.py
+++ b/src/samphirelug/components/gateway/parsing.py
@@ -11,28 +11,19 @@
 
 from samphirelug.components.gateway import model
 from samphirelug import const
+from samphirelug.helpers import http_fields
 from samphirelug import result_codes
 
 LOOKUP_PREFIX = "/v1/lookup/"
 RUN_PREFIX = "/v1/run/"
 OUTCOME_PATH = "/v1/outcome"
 REQUEST_ID_PATTERN = re.compile(r"[!-~]{1,128}")
-# Header fields that hold for one connection only (RFC 9110, 7.6.1), and
-# those that the entry host sets itself.
+# Fields that the entry host sets itself.
 NOT_FORWARDED = frozenset(
     {
-        "connection",
         "content-length",
         "expect",
         "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
         const.HEADER_DEADLINE_MS.lower(),
         const.HEADER_HOME_REGION.lower(),
         const.HEADER_RUN_TOKEN.lower(),
@@ -104,17 +95,7 @@
     pairs: list[tuple[str, str]],
 ) -> tuple[tuple[str, str], ...]:
     """Return the header fields that go on to the backend server."""
-    named = {
-        token.strip().lower()
-        for name, value in pairs
-        if name.lower() == "connection"
-        for token in value.split(",")
-    }
-    return tuple(
-        (name, value)
-        for name, value in pairs
-        if name.lower() not in NOT_FORWARDED and name.lower() not in named
-    )
+    return http_fields.forwarded(pairs, dropped=NOT_FORWARDED)
 
 
 def _parse_deadline(
