Forward by routes on the users' platform

Cause: the product ran only with its own catalogue, quota seats and listeners; the users' platform has its own configuration, server entries and look-ups. Ruled out: a second copy of the product for the platform.

--- a/src/samphirelug/components/backend/model.py
+++ b/src/samphirelug/components/backend/model.py
@@ -40,6 +40,8 @@
     REFUSED = "refused"
     # The server said so because it is leaving.
     LEAVING = "leaving"
+    # Another incarnation has the address, and did not run the request.
+    MISDIRECTED = "misdirected"
     # The server may have run the request.
     TIMEOUT = "timeout"
     RESET = "reset"
@@ -55,6 +57,7 @@
             FailureKind.NOT_SENT,
             FailureKind.REFUSED,
             FailureKind.LEAVING,
+            FailureKind.MISDIRECTED,
         )
 
 
--- /dev/null
+++ b/src/samphirelug/components/directory/__init__.py
@@ -0,0 +1,1 @@
+"""Answer callers that ask which entry host to use."""
--- /dev/null
+++ b/src/samphirelug/components/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Know the backend servers and the entry hosts that exist."""
--- /dev/null
+++ b/src/samphirelug/components/fleet/decoder.py
@@ -0,0 +1,26 @@
+"""Define how stored objects become the types of the product."""
+
+import abc
+
+from returns.result import Result
+
+from samphirelug.components.fleet import model
+from samphirelug.components.routing import model as routing_model
+from samphirelug.components.store import model as store_model
+from samphirelug import result_codes
+
+
+class ObjectDecoder(abc.ABC):
+    """Decode stored objects; fail with CATALOGUE_INVALID and the reason."""
+
+    @abc.abstractmethod
+    def configuration(
+        self, stored: store_model.StoredObject
+    ) -> Result[routing_model.Configuration, result_codes.Refusal]:
+        """Return a configuration."""
+
+    @abc.abstractmethod
+    def server(
+        self, stored: store_model.StoredObject, *, now: float
+    ) -> Result[model.ServerInstance, result_codes.Refusal]:
+        """Return a backend server."""
--- /dev/null
+++ b/src/samphirelug/components/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Carry requests to backend servers and decide on another attempt."""
--- /dev/null
+++ b/src/samphirelug/components/forwarding/model.py
@@ -0,0 +1,74 @@
+"""Define what the attempt loop receives, sends and returns."""
+
+import abc
+from typing import NamedTuple
+
+from returns.result import Result
+
+from samphirelug.components.backend import model as backend_model
+from samphirelug.components.fleet import model as fleet_model
+from samphirelug.components.placement import load as placement_load
+from samphirelug import core
+
+Headers = tuple[tuple[str, str], ...]
+
+
+class ReceivedRequest(NamedTuple):
+    """Hold one whole request of a caller."""
+
+    request_id: str
+    method: str
+    # Path and query as the caller sent them.
+    target: str
+    hostname: str
+    headers: Headers
+    body: bytes
+    affinity_key: str
+    received_at_s: float
+    # On the entry host's monotonic clock; None if the caller names none.
+    deadline_at_s: float | None
+
+    @property
+    def path(self) -> str:
+        """Return the target without its query."""
+        return self.target.partition("?")[0]
+
+
+class Attempt(NamedTuple):
+    """Hold a request that goes to one server."""
+
+    request: ReceivedRequest
+    server: fleet_model.ServerInstance
+    # The server stops work at this time.
+    answer_by_s: float
+    idempotent: bool
+
+
+class AttemptAnswer(NamedTuple):
+    """Hold a server's whole answer and what it says of the server."""
+
+    answer: core.Answer
+    report: placement_load.LoadReport | None
+    # Seconds for which the server stays cold; None if it does not say.
+    cold_s: float | None
+
+
+class AttemptFailure(NamedTuple):
+    """Hold why an attempt brought no answer."""
+
+    failure: backend_model.BackendFailure
+    report: placement_load.LoadReport | None = None
+
+
+AttemptResult = Result[AttemptAnswer, AttemptFailure]
+
+
+class AttemptSender(abc.ABC):
+    """Send attempts to servers."""
+
+    @abc.abstractmethod
+    async def send(self, attempt: Attempt) -> AttemptResult:
+        """Return the whole answer or why there is none.
+
+        Cancelling the call closes the connection, which cancels the work.
+        """
--- /dev/null
+++ b/src/samphirelug/components/http/handler.py
@@ -0,0 +1,133 @@
+"""Turn callers' messages into forwarded requests and responses."""
+
+import asyncio
+import http.client
+import logging
+
+import orjson
+from returns.result import Success
+
+from samphirelug.components.forwarding import forwarder
+from samphirelug.components.forwarding import model as forwarding_model
+from samphirelug.components.http import io_pipeline
+from samphirelug.components.http import model
+from samphirelug import result_codes
+
+_LOGGER = logging.getLogger(__name__)
+# The status promises that the request has not run and will not run.
+RETRY_STATUS = (429, 503)
+
+
+class ForwardingHandler(io_pipeline.RequestHandler):
+    """Forward the requests of callers by route."""
+
+    def __init__(
+        self,
+        *,
+        forwarder: forwarder.Forwarder,
+        names: model.HeaderNames,
+    ) -> None:
+        self.forwarder = forwarder
+        self.names = names
+
+    def may_overlap(self, message: io_pipeline.CallerMessage) -> bool:
+        """Tell whether the request may run more than once."""
+        route = self.forwarder.route_of(
+            hostname=_hostname(message), target=message.target
+        )
+        return route is not None and route.idempotent
+
+    def ends_with_caller(self, message: io_pipeline.CallerMessage) -> bool:
+        """Tell whether nothing is lost when the request is cancelled."""
+        return self.may_overlap(message)
+
+    async def handle(
+        self, message: io_pipeline.CallerMessage
+    ) -> model.Response:
+        """Return the server's answer or a refusal."""
+        request = self._parse(message)
+        if request is None:
+            refusal = result_codes.Refusal(
+                result_codes.ResultCode.MALFORMED_REQUEST,
+                "the request has no id, no host name or a malformed time",
+            )
+            return self._render_refusal(refusal, "")
+        try:
+            result = await self.forwarder.forward(request)
+        except asyncio.CancelledError:
+            raise
+        except Exception:
+            _LOGGER.exception(
+                "request failed in this process",
+                extra={"request_id": request.request_id[:128]},
+            )
+            refusal = result_codes.Refusal(
+                result_codes.ResultCode.INTERNAL_ERROR, "see the log"
+            )
+            return self._render_refusal(refusal, request.request_id)
+        if not isinstance(result, Success):
+            return self._render_refusal(result.failure(), request.request_id)
+        answer = result.unwrap()
+        return model.Response(
+            answer.status, answer.reason, answer.headers, answer.body
+        )
+
+    def _parse(
+        self, message: io_pipeline.CallerMessage
+    ) -> forwarding_model.ReceivedRequest | None:
+        request_id = message.get(self.names.request_id)
+        hostname = _hostname(message)
+        if not request_id or not hostname:
+            return None
+        deadline_ms = message.get(self.names.deadline_ms)
+        deadline_at_s = None
+        if deadline_ms is not None:
+            if not deadline_ms.isdigit():
+                return None
+            deadline_at_s = message.received_at_s + int(deadline_ms) / 1000
+        return forwarding_model.ReceivedRequest(
+            request_id=request_id,
+            method=message.method,
+            target=message.target,
+            hostname=hostname,
+            headers=message.headers,
+            body=message.body,
+            affinity_key=self._affinity_key(message),
+            received_at_s=message.received_at_s,
+            deadline_at_s=deadline_at_s,
+        )
+
+    def _affinity_key(self, message: io_pipeline.CallerMessage) -> str:
+        header = message.get("cookie")
+        if header is None:
+            return ""
+        for part in header.split(";"):
+            name, _, value = part.strip().partition("=")
+            if name == self.names.affinity_cookie:
+                return value
+        return ""
+
+    def _render_refusal(
+        self, refusal: result_codes.Refusal, request_id: str
+    ) -> model.Response:
+        code = refusal.code
+        status = code.http_status
+        headers = [("Content-Type", "application/json")]
+        if request_id:
+            headers.append((self.names.request_id, request_id))
+        if status in RETRY_STATUS and refusal.retry_after_s > 0.0:
+            headers.append(("Retry-After", f"{refusal.retry_after_s:.3f}"))
+        body = orjson.dumps(
+            {
+                "code": int(code),
+                "name": code.name,
+                "effect": code.effect.value,
+                "detail": refusal.detail,
+            }
+        )
+        reason = http.client.responses.get(status, "Error")
+        return model.Response(status, reason, tuple(headers), body)
+
+
+def _hostname(message: io_pipeline.CallerMessage) -> str:
+    return (message.get("host") or "").partition(":")[0]
--- /dev/null
+++ b/src/samphirelug/components/http/io_pipeline.py
@@ -0,0 +1,399 @@
+"""Accept callers' connections, and answer pipelined requests in order."""
+
+import abc
+import asyncio
+import collections
+from collections.abc import Callable
+import http.client
+import logging
+from typing import NamedTuple
+
+import httptools
+from tornado import iostream
+from tornado import netutil
+from tornado import tcpserver
+
+from samphirelug.components.http import const
+from samphirelug.components.http import model
+from samphirelug.components.routing import model as routing_model
+from samphirelug.helpers import timer as timer_helper
+
+_LOGGER = logging.getLogger(__name__)
+DEFAULT_LIMITS = routing_model.CallerLimits(
+    max_header_bytes=const.DEFAULT_HEADER_BYTES,
+    max_body_bytes=const.DEFAULT_BODY_BYTES,
+    header_timeout_s=const.DEFAULT_HEADER_TIMEOUT_S,
+    idle_timeout_s=const.DEFAULT_IDLE_TIMEOUT_S,
+)
+
+
+class CallerMessage(NamedTuple):
+    """Hold one whole HTTP request."""
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    received_at_s: float
+
+    def get(self, name: str) -> str | None:
+        """Return the first value of a header, named in lower case."""
+        for known, value in self.headers:
+            if known.lower() == name:
+                return value
+        return None
+
+
+class RequestHandler(abc.ABC):
+    """Answer the requests of callers."""
+
+    @abc.abstractmethod
+    def may_overlap(self, message: CallerMessage) -> bool:
+        """Tell whether to start before earlier requests are answered."""
+
+    @abc.abstractmethod
+    def ends_with_caller(self, message: CallerMessage) -> bool:
+        """Tell whether to cancel the request when its caller leaves."""
+
+    @abc.abstractmethod
+    async def handle(self, message: CallerMessage) -> model.Response:
+        """Return the response to a request."""
+
+
+class RequestError(Exception):
+    """Carry the status for a request that cannot be read."""
+
+    def __init__(self, *, status: int) -> None:
+        super().__init__(f"status {status}")
+        self.status = status
+
+
+class RequestParser:
+    """Split the bytes of a connection into whole requests."""
+
+    def __init__(
+        self,
+        *,
+        limits: Callable[[], routing_model.CallerLimits],
+        timer: timer_helper.TimerService,
+    ) -> None:
+        self.limits = limits
+        self.timer = timer
+        self.parser = httptools.HttpRequestParser(self)
+        self.ready: list[tuple[CallerMessage, bool]] = []
+        self.wants_continue = False
+        # Set while a request is only partly received.
+        self.started_at_s: float | None = None
+        self._reset()
+
+    def feed(self, data: bytes) -> None:
+        """Take bytes; raise RequestError where they are no request."""
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # Served as if no upgrade had been asked for.
+            return
+        except httptools.HttpParserCallbackError as error:
+            if isinstance(error.__context__, RequestError):
+                raise error.__context__ from None
+            raise
+        except httptools.HttpParserError as error:
+            raise RequestError(status=400) from error
+
+    def _reset(self) -> None:
+        self.target = b""
+        self.headers: list[tuple[str, str]] = []
+        self.header_bytes = 0
+        self.chunks: list[bytes] = []
+        self.body_bytes = 0
+
+    # Callbacks of the parser
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self._reset()
+        self.started_at_s = self.timer.monotonic()
+
+    def on_url(self, url: bytes) -> None:
+        """Keep a part of the target."""
+        self.target += url
+        self._count_header_bytes(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header."""
+        self._count_header_bytes(len(name) + len(value) + 4)
+        self.headers.append((name.decode("latin-1"), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        """Note whether the caller waits for leave to send the body."""
+        self.wants_continue = any(
+            name.lower() == "expect" and "100-continue" in value.lower()
+            for name, value in self.headers
+        )
+
+    def on_body(self, body: bytes) -> None:
+        """Keep a part of the body."""
+        self.wants_continue = False
+        self.body_bytes += len(body)
+        if self.body_bytes > self.limits().max_body_bytes:
+            raise RequestError(status=413)
+        self.chunks.append(body)
+
+    def on_message_complete(self) -> None:
+        """Hand over the whole request."""
+        message = CallerMessage(
+            method=self.parser.get_method().decode("latin-1"),
+            target=self.target.decode("latin-1"),
+            headers=tuple(self.headers),
+            body=b"".join(self.chunks),
+            received_at_s=self.timer.monotonic(),
+        )
+        keep_alive = bool(self.parser.should_keep_alive())
+        self.ready.append((message, keep_alive))
+        self.wants_continue = False
+        self.started_at_s = None
+
+    def _count_header_bytes(self, size: int) -> None:
+        self.header_bytes += size
+        if self.header_bytes > self.limits().max_header_bytes:
+            raise RequestError(status=431)
+
+
+class PendingRequest:
+    """Hold a request until its response is written."""
+
+    def __init__(self, *, message: CallerMessage, keep_alive: bool) -> None:
+        self.message = message
+        self.keep_alive = keep_alive
+        self.task: asyncio.Task[model.Response] | None = None
+
+
+class CallerConnection:
+    """Serve the requests of one connection."""
+
+    def __init__(
+        self, *, stream: iostream.IOStream, listener: "CallerListener"
+    ) -> None:
+        self.stream = stream
+        self.listener = listener
+        self.parser = RequestParser(
+            limits=listener.limits, timer=listener.timer
+        )
+        self.pending: collections.deque[PendingRequest] = collections.deque()
+        self.wake = asyncio.Event()
+        self.room = asyncio.Event()
+        self.room.set()
+        self.idle_since_s = listener.timer.monotonic()
+        # Set when no further request is read.
+        self.last_status: int | None = None
+        self.closing = False
+
+    async def serve(self) -> None:
+        """Read requests and write responses until either side closes."""
+        writer = asyncio.ensure_future(self._write_responses())
+        try:
+            await self._read_requests()
+            await writer
+        except (OSError, iostream.StreamClosedError):
+            _LOGGER.debug("caller closed its connection")
+        finally:
+            writer.cancel()
+            self._abandon()
+            self.stream.close()
+
+    async def _read_requests(self) -> None:
+        while not self.closing:
+            await self.room.wait()
+            data = await self.stream.read_bytes(
+                const.READ_CHUNK_BYTES, partial=True
+            )
+            try:
+                self.parser.feed(data)
+            except RequestError as error:
+                self.last_status = error.status
+            if self.parser.wants_continue and not self.pending:
+                self.parser.wants_continue = False
+                self.stream.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            for message, keep_alive in self.parser.ready:
+                self._add(message, keep_alive)
+            self.parser.ready.clear()
+            if self.last_status is not None:
+                self.wake.set()
+                # Notices when the caller leaves.
+                while True:
+                    await self.stream.read_bytes(
+                        const.READ_CHUNK_BYTES, partial=True
+                    )
+
+    def _add(self, message: CallerMessage, keep_alive: bool) -> None:
+        pending = PendingRequest(message=message, keep_alive=keep_alive)
+        self.pending.append(pending)
+        self._start_ready()
+        if len(self.pending) >= const.MAX_PIPELINED:
+            self.room.clear()
+        self.wake.set()
+
+    def _start_ready(self) -> None:
+        handler = self.listener.handler
+        for index, pending in enumerate(self.pending):
+            if pending.task is not None:
+                continue
+            if index and not handler.may_overlap(pending.message):
+                # Runs only when no earlier response can close the
+                # connection and make the caller send the request again.
+                break
+            pending.task = asyncio.ensure_future(
+                handler.handle(pending.message)
+            )
+            if not pending.keep_alive:
+                break
+
+    async def _write_responses(self) -> None:
+        while True:
+            while not self.pending:
+                if self.last_status is not None:
+                    await self._write(
+                        _error_response(self.last_status), close=True
+                    )
+                    return
+                self.wake.clear()
+                await self.wake.wait()
+            self._start_ready()
+            first = self.pending[0]
+            assert first.task is not None
+            response = await asyncio.shield(first.task)
+            self.pending.popleft()
+            self.room.set()
+            # Requests behind a closing response would have to be sent again.
+            close = not first.keep_alive or (
+                self.listener.draining and not self.pending
+            )
+            self.idle_since_s = self.listener.timer.monotonic()
+            await self._write(response, close=close)
+            if close:
+                return
+
+    async def _write(self, response: model.Response, *, close: bool) -> None:
+        lines = [f"HTTP/1.1 {response.status} {response.reason}"]
+        lines += [f"{name}: {value}" for name, value in response.headers]
+        lines.append(f"Content-Length: {len(response.body)}")
+        if close:
+            lines.append("Connection: close")
+        head = "\r\n".join(lines) + "\r\n\r\n"
+        await self.stream.write(head.encode("latin-1") + response.body)
+        if close:
+            self.closing = True
+            self.stream.close()
+
+    def _abandon(self) -> None:
+        """Cancel what no caller waits for any more."""
+        handler = self.listener.handler
+        for pending in self.pending:
+            task = pending.task
+            if task is None:
+                continue
+            if handler.ends_with_caller(pending.message):
+                task.cancel()
+            else:
+                self.listener.detach(task)
+        self.pending.clear()
+
+    def is_idle(self) -> bool:
+        """Tell whether nothing is received, handled or written."""
+        return (
+            not self.pending
+            and self.parser.started_at_s is None
+            and not self.stream.writing()
+        )
+
+    def check_times(self, *, now: float) -> None:
+        """Close the connection if the caller has taken too long."""
+        limits = self.listener.limits()
+        started_at_s = self.parser.started_at_s
+        if started_at_s is not None and not self.pending:
+            if now - started_at_s > limits.header_timeout_s:
+                self.last_status = 408
+                self.wake.set()
+        elif (
+            self.is_idle()
+            and now - self.idle_since_s
+            > limits.idle_timeout_s + const.IDLE_MARGIN_S
+        ):
+            self.stream.close()
+
+
+class CallerListener(tcpserver.TCPServer):
+    """Accept callers' connections on one address."""
+
+    def __init__(
+        self,
+        *,
+        handler: RequestHandler,
+        limits: Callable[[], routing_model.CallerLimits],
+        timer: timer_helper.TimerService,
+    ) -> None:
+        super().__init__(max_buffer_size=2 * const.DEFAULT_BODY_BYTES)
+        self.handler = handler
+        self.limits = limits
+        self.timer = timer
+        self.draining = False
+        self.port = 0
+        self.connections: set[CallerConnection] = set()
+        self.detached: set[asyncio.Task[model.Response]] = set()
+
+    def start_listening(self, *, host: str, port: int) -> None:
+        """Bind the address and accept connections on the running loop."""
+        sockets = netutil.bind_sockets(
+            port, host, backlog=const.LISTEN_BACKLOG
+        )
+        self.port = sockets[0].getsockname()[1]
+        self.add_sockets(sockets)
+        self.timer.subscribe(
+            interval_s=const.SWEEP_INTERVAL_S, callback=self._check_times
+        )
+
+    async def handle_stream(
+        self, stream: iostream.IOStream, address: object
+    ) -> None:
+        """Serve an accepted connection."""
+        del address
+        stream.set_nodelay(True)
+        connection = CallerConnection(stream=stream, listener=self)
+        self.connections.add(connection)
+        try:
+            await connection.serve()
+        finally:
+            self.connections.discard(connection)
+
+    def detach(self, task: "asyncio.Task[model.Response]") -> None:
+        """Let a request end without its caller."""
+        self.detached.add(task)
+        task.add_done_callback(self._finish_detached)
+
+    def close_idle(self) -> None:
+        """Close the connections that have no request."""
+        for connection in list(self.connections):
+            if connection.is_idle():
+                connection.stream.close()
+
+    @property
+    def busy(self) -> bool:
+        """Return whether a request is being handled."""
+        return bool(self.detached) or any(
+            not connection.is_idle() for connection in self.connections
+        )
+
+    def _finish_detached(self, task: "asyncio.Task[model.Response]") -> None:
+        self.detached.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            _LOGGER.error("request failed", exc_info=task.exception())
+
+    def _check_times(self) -> None:
+        now = self.timer.monotonic()
+        for connection in list(self.connections):
+            connection.check_times(now=now)
+
+
+def _error_response(status: int) -> model.Response:
+    reason = http.client.responses.get(status, "Error")
+    return model.Response(status, reason, (), b"")
--- /dev/null
+++ b/src/samphirelug/components/metrics/forwarding.py
@@ -0,0 +1,68 @@
+"""Count what happens to requests that are forwarded by routes."""
+
+from aioprometheus import collectors
+from aioprometheus.formats import text
+
+from samphirelug.components.metrics import registry
+
+
+class ForwardingMetrics:
+    """Hold the metrics of a forwarding entry host in one registry."""
+
+    def __init__(self) -> None:
+        self.registry = collectors.Registry()
+        self.requests = collectors.Counter(
+            "samphirelug_requests_total",
+            "Requests by route and result code",
+            registry=self.registry,
+        )
+        self.retries = collectors.Counter(
+            "samphirelug_retries_total",
+            "Further attempts by their outcome",
+            registry=self.registry,
+        )
+        self.latency = collectors.Histogram(
+            "samphirelug_request_seconds",
+            "Time from the whole request to its result by route and code",
+            buckets=list(registry.LATENCY_BUCKETS_S),
+            registry=self.registry,
+        )
+        self.store_calls = collectors.Counter(
+            "samphirelug_store_calls_total",
+            "Store calls by kind and outcome",
+            registry=self.registry,
+        )
+        self.lost_lines = collectors.Gauge(
+            "samphirelug_log_lines_lost",
+            "Log lines dropped because standard output was not read",
+            registry=self.registry,
+        )
+        self.beliefs = collectors.Gauge(
+            "samphirelug_belief",
+            "Configuration version, servers and entry hosts known",
+            registry=self.registry,
+        )
+
+    def observe_request(
+        self, *, route: str, code: str, seconds: float
+    ) -> None:
+        """Count a finished request and its latency."""
+        labels = {"route": route, "code": code}
+        self.requests.inc(labels)
+        self.latency.observe(labels, seconds)
+
+    def count_retry(self, outcome: str) -> None:
+        """Count another attempt for a request."""
+        self.retries.inc({"outcome": outcome})
+
+    def count_store_call(self, kind: str, outcome: str) -> None:
+        """Count a call to the store."""
+        self.store_calls.inc({"kind": kind, "outcome": outcome})
+
+    def set_belief(self, name: str, value: float) -> None:
+        """Set what the process believes."""
+        self.beliefs.set({"name": name}, value)
+
+    def render(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return text.TextFormatter().marshall(self.registry)
--- /dev/null
+++ b/src/samphirelug/components/placement/ranking.py
@@ -0,0 +1,99 @@
+"""Order servers for an object, the same on every entry host.
+
+Answers load on objects that a server handles faster once it has handled
+them: all requests for an object go to the same few servers, with no message
+between entry hosts.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import math
+
+import xxhash
+
+from samphirelug.components.fleet import model
+from samphirelug.components.fleet import registry as fleet_registry
+from samphirelug.components.placement import const
+
+# Maps a 64-bit hash into the open interval from 0 to 1.
+HASH_SCALE = 1.0 / (1 << 64)
+
+CacheKey = tuple[str, str, frozenset[str]]
+
+
+def weighted_score(*, key: str, name: str, weight: float) -> float:
+    """Return the weighted rendezvous score of a name for a key."""
+    digest = xxhash.xxh64_intdigest(f"{key}\0{name}".encode())
+    return -weight / math.log((digest + 0.5) * HASH_SCALE)
+
+
+def order_names(*, key: str, weights: Mapping[str, float]) -> list[str]:
+    """Return the names by descending weighted rendezvous score."""
+    return sorted(
+        weights,
+        key=lambda name: (
+            weighted_score(key=key, name=name, weight=weights[name]),
+            name,
+        ),
+        reverse=True,
+    )
+
+
+def order_servers(
+    *, key: str, servers: Iterable[model.ServerInstance]
+) -> tuple[model.ServerInstance, ...]:
+    """Order servers by region, then within the region.
+
+    Choosing the region first keeps an object in its region when servers
+    join or leave, so that few requests change region at a time.
+    """
+    by_region: dict[str, dict[str, model.ServerInstance]] = {}
+    for server in servers:
+        in_region = by_region.setdefault(server.zone.region, {})
+        in_region[server.instance_id] = server
+    region_weights = {
+        region: float(sum(server.slots for server in in_region.values()))
+        for region, in_region in by_region.items()
+    }
+    ordered: list[model.ServerInstance] = []
+    for region in order_names(key=key, weights=region_weights):
+        in_region = by_region[region]
+        names = order_names(
+            key=key,
+            weights={name: float(s.slots) for name, s in in_region.items()},
+        )
+        ordered.extend(in_region[name] for name in names)
+    return tuple(ordered)
+
+
+class ServerRanking:
+    """Cache the order of servers for each object."""
+
+    def __init__(self, *, registry: fleet_registry.ServerRegistry) -> None:
+        self.registry = registry
+        self.generation = -1
+        self.cache: dict[CacheKey, tuple[model.ServerInstance, ...]] = {}
+
+    def order(
+        self, *, object_key: str, service: str, regions: frozenset[str]
+    ) -> tuple[model.ServerInstance, ...]:
+        """Return the usable servers of the regions, all if none is named."""
+        if (
+            self.generation != self.registry.generation
+            or len(self.cache) >= const.MAX_CACHED_ORDERS
+        ):
+            self.cache.clear()
+            self.generation = self.registry.generation
+        cache_key = (service, object_key, regions)
+        known = self.cache.get(cache_key)
+        if known is None:
+            known = order_servers(
+                key=object_key,
+                servers=[
+                    server
+                    for server in self.registry.usable(service)
+                    if not regions or server.zone.region in regions
+                ],
+            )
+            self.cache[cache_key] = known
+        return known
--- /dev/null
+++ b/src/samphirelug/components/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choose the service that a request goes to."""
--- /dev/null
+++ b/src/samphirelug/components/routing/table.py
@@ -0,0 +1,75 @@
+"""Find the route of a request in the configuration in force."""
+
+import logging
+
+from samphirelug.components.routing import model
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class RouteTable:
+    """Match requests against one version of the configuration."""
+
+    def __init__(self, *, configuration: model.Configuration) -> None:
+        self.configuration = configuration
+        self.by_hostname: dict[str, list[model.Route]] = {}
+        for route in configuration.routes:
+            self.by_hostname.setdefault(route.hostname.lower(), []).append(
+                route
+            )
+        for routes in self.by_hostname.values():
+            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+
+    def find(self, *, hostname: str, path: str) -> model.Route | None:
+        """Return the route with the longest prefix of the path."""
+        for route in self.by_hostname.get(hostname.lower(), ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+
+class ConfigurationState:
+    """Hold the configuration in force, whose version never decreases."""
+
+    def __init__(self) -> None:
+        self.table: RouteTable | None = None
+        self.applied_at_s = 0.0
+
+    @property
+    def configuration(self) -> model.Configuration | None:
+        """Return the configuration in force, if there is one."""
+        return self.table.configuration if self.table else None
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, 0 before the first."""
+        return self.table.configuration.version if self.table else 0
+
+    def apply(
+        self, configuration: model.Configuration, *, now: float, source: str
+    ) -> bool:
+        """Put a newer configuration in force; ignore an older one."""
+        if configuration.version <= self.version:
+            if configuration.version < self.version:
+                _LOGGER.warning(
+                    "ignored an older configuration",
+                    extra={
+                        "version": configuration.version,
+                        "version_in_force": self.version,
+                        "source": source,
+                    },
+                )
+            return False
+        previous = self.version
+        self.table = RouteTable(configuration=configuration)
+        self.applied_at_s = now
+        _LOGGER.info(
+            "configuration in force",
+            extra={
+                "version": configuration.version,
+                "previous_version": previous,
+                "routes": len(configuration.routes),
+                "source": source,
+            },
+        )
+        return True
--- a/src/samphirelug/components/store/io_http_store.py
+++ b/src/samphirelug/components/store/io_http_store.py
@@ -1,9 +1,7 @@
 """Reach the object store over HTTP."""
 
 from collections.abc import Mapping
-import socket
 from typing import Any
-from typing import NamedTuple
 from typing import TypeVar
 import urllib.parse
 
@@ -12,11 +10,10 @@
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
-from tornado import httpclient
-from tornado import simple_httpclient
 
 from samphirelug.components.metrics import registry
 from samphirelug.components.store import budget as store_budget
+from samphirelug.components.store import io_transport
 from samphirelug.components.store import model
 from samphirelug.components.store import object_store
 from samphirelug import const
@@ -26,42 +23,10 @@
 ObjectResult = Result[model.StoredObject, result_codes.Refusal]
 ListingResult = Result[model.Listing, result_codes.Refusal]
 
-# The store answers in milliseconds; a call that takes this long has met an
-# outage, and a slow store must not hold the callers of this client.
-CONNECT_TIMEOUT_S = 1.0
-REQUEST_TIMEOUT_S = 2.0
-# A whole catalogue can be many megabytes.
-LIST_TIMEOUT_S = 10.0
-MAX_CALLS_AT_ONCE = 32
-# The client raises time-outs before anything was sent with these messages.
-UNSENT_TIMEOUTS = ("Timeout while connecting", "Timeout in request queue")
-
 _OBJECT = pydantic.TypeAdapter(model.StoredObject)
 _LISTING = pydantic.TypeAdapter(model.Listing)
 
 
-class StoreTimeouts(NamedTuple):
-    """Bound the time of calls to the store, in seconds."""
-
-    connect_s: float = CONNECT_TIMEOUT_S
-    request_s: float = REQUEST_TIMEOUT_S
-    list_s: float = LIST_TIMEOUT_S
-
-
-class _Reply(NamedTuple):
-    """Hold an HTTP answer's status and body."""
-
-    status: int
-    body: bytes
-
-
-class _NoReply(NamedTuple):
-    """Tell why no answer came, and whether the store may have the call."""
-
-    reason: str
-    maybe_sent: bool
-
-
 class HttpObjectStore(object_store.ObjectStore):
     """Classify every outcome of a call to the store."""
 
@@ -71,26 +36,25 @@
         base_url: str,
         budget: store_budget.CallBudget,
         metrics: registry.Metrics | None = None,
-        timeouts: StoreTimeouts | None = None,
+        timeouts: io_transport.StoreTimeouts | None = None,
     ) -> None:
-        self.base_url = base_url.rstrip("/")
         self.budget = budget
         self.metrics = metrics
-        self.timeouts = timeouts or StoreTimeouts()
-        self.client = simple_httpclient.SimpleAsyncHTTPClient(
-            force_instance=True, max_clients=MAX_CALLS_AT_ONCE
+        self.timeouts = timeouts or io_transport.StoreTimeouts()
+        self.transport = io_transport.StoreTransport(
+            base_url=base_url, timeouts=self.timeouts
         )
 
     def close(self) -> None:
         """Release the client's resources."""
-        self.client.close()
+        self.transport.close()
 
     async def get(self, key: str) -> ObjectResult:
         """Return an object; OBJECT_NOT_FOUND where there is none."""
         empty = self._take(store_budget.CallKind.READ, "get")
         if empty is not None:
             return Failure(empty)
-        reply = await self._call(
+        reply = await self.transport.call(
             "GET", _object_path(key), timeout_s=self.timeouts.request_s
         )
         return self._count("get", _read_object(reply, key))
@@ -101,7 +65,7 @@
         if empty is not None:
             return Failure(empty)
         query = urllib.parse.urlencode({"prefix": prefix})
-        reply = await self._call(
+        reply = await self.transport.call(
             "GET", f"/v1/objects?{query}", timeout_s=self.timeouts.list_s
         )
         return self._count("list", _read_listing(reply))
@@ -126,7 +90,7 @@
         empty = self._take(store_budget.CallKind.WRITE, "put")
         if empty is not None:
             return Failure(empty)
-        reply = await self._call(
+        reply = await self.transport.call(
             "PUT",
             _object_path(key),
             timeout_s=self.timeouts.request_s,
@@ -151,37 +115,13 @@
         query = urllib.parse.urlencode(
             {"prefix": prefix, "after": after, "timeout_s": timeout_s}
         )
-        reply = await self._call(
+        reply = await self.transport.call(
             "GET",
             f"/v1/watch?{query}",
             timeout_s=timeout_s + self.timeouts.request_s,
         )
         return self._count("watch", _read_listing(reply))
 
-    async def _call(
-        self,
-        method: str,
-        path: str,
-        *,
-        timeout_s: float,
-        body: bytes | None = None,
-        headers: dict[str, str] | None = None,
-    ) -> _Reply | _NoReply:
-        request = httpclient.HTTPRequest(
-            f"{self.base_url}{path}",
-            method=method,
-            body=body,
-            headers=headers,
-            connect_timeout=min(self.timeouts.connect_s, timeout_s),
-            request_timeout=timeout_s,
-            follow_redirects=False,
-        )
-        try:
-            response = await self.client.fetch(request, raise_error=False)
-        except (httpclient.HTTPError, OSError) as error:
-            return _NoReply(str(error) or type(error).__name__, _sent(error))
-        return _Reply(response.code, response.body)
-
     def _take(
         self, kind: store_budget.CallKind, call: str
     ) -> result_codes.Refusal | None:
@@ -213,16 +153,6 @@
     return f"/v1/objects/{urllib.parse.quote(key, safe='/')}"
 
 
-def _sent(error: Exception) -> bool:
-    """Tell whether bytes of the request may have reached the store."""
-    if isinstance(error, ConnectionRefusedError | socket.gaierror):
-        return False
-    return not (
-        isinstance(error, simple_httpclient.HTTPTimeoutError)
-        and str(error.message) in UNSENT_TIMEOUTS
-    )
-
-
 def _unavailable(reason: str) -> result_codes.Refusal:
     return result_codes.Refusal(
         result_codes.ResultCode.STORE_UNAVAILABLE,
@@ -238,8 +168,10 @@
     )
 
 
-def _read_object(reply: _Reply | _NoReply, key: str) -> ObjectResult:
-    if isinstance(reply, _NoReply):
+def _read_object(
+    reply: io_transport.Reply | io_transport.NoReply, key: str
+) -> ObjectResult:
+    if isinstance(reply, io_transport.NoReply):
         return Failure(_unavailable(reply.reason))
     if reply.status == 404:
         return Failure(
@@ -256,8 +188,10 @@
         return Failure(_unavailable("the answer is not an object"))
 
 
-def _read_listing(reply: _Reply | _NoReply) -> ListingResult:
-    if isinstance(reply, _NoReply):
+def _read_listing(
+    reply: io_transport.Reply | io_transport.NoReply,
+) -> ListingResult:
+    if isinstance(reply, io_transport.NoReply):
         return Failure(_unavailable(reply.reason))
     if reply.status != 200:
         return Failure(_unavailable(f"status {reply.status}"))
@@ -267,8 +201,10 @@
         return Failure(_unavailable("the answer is not a listing"))
 
 
-def _read_put(reply: _Reply | _NoReply, key: str) -> ObjectResult:
-    if isinstance(reply, _NoReply):
+def _read_put(
+    reply: io_transport.Reply | io_transport.NoReply, key: str
+) -> ObjectResult:
+    if isinstance(reply, io_transport.NoReply):
         if reply.maybe_sent:
             return Failure(_unknown(key, reply.reason))
         return Failure(_unavailable(reply.reason))
--- /dev/null
+++ b/src/samphirelug/forwarding_host.py
@@ -0,0 +1,244 @@
+"""Wire an entry host that forwards by routes, and stop it gracefully."""
+
+import asyncio
+import logging
+import random
+import signal
+import uuid
+
+from tornado import web
+
+from samphirelug.components.directory import answer as directory_answer
+from samphirelug.components.fleet import consumers
+from samphirelug.components.fleet import decoder as fleet_decoder
+from samphirelug.components.fleet import enrolment
+from samphirelug.components.fleet import io_datagrams
+from samphirelug.components.fleet import model as fleet_model
+from samphirelug.components.fleet import registry as fleet_registry
+from samphirelug.components.fleet import roster as fleet_roster
+from samphirelug.components.forwarding import forwarder
+from samphirelug.components.forwarding import request_log
+from samphirelug.components.forwarding import retry_window
+from samphirelug.components.http import handler
+from samphirelug.components.http import io_pipeline
+from samphirelug.components.http import io_pool
+from samphirelug.components.http import model as http_model
+from samphirelug.components.metrics import forwarding as forwarding_metrics
+from samphirelug.components.placement import placer
+from samphirelug.components.routing import model as routing_model
+from samphirelug.components.routing import table
+from samphirelug.components.store import feed as store_feed
+from samphirelug.components.store import follower
+from samphirelug import forwarding_settings
+from samphirelug.helpers import timer as timer_helper
+
+_LOGGER = logging.getLogger(__name__)
+# Callers learn within this part of the grace that the host stops.
+LEAVE_SHARE = 0.35
+# Left over at the end of the grace for closing connections.
+STOP_MARGIN_S = 0.4
+STOP_POLL_S = 0.05
+BELIEF_INTERVAL_S = 1.0
+
+
+class ForwardingHost:
+    """Hold the parts of one entry host."""
+
+    def __init__(
+        self,
+        *,
+        settings: forwarding_settings.ForwardingSettings,
+        timer: timer_helper.TimerService,
+        feed: store_feed.ObjectFeed,
+        decoder: fleet_decoder.ObjectDecoder,
+        names: http_model.HeaderNames,
+        metrics: forwarding_metrics.ForwardingMetrics,
+    ) -> None:
+        self.settings = settings
+        self.timer = timer
+        self.metrics = metrics
+        self.configuration = table.ConfigurationState()
+        self.registry = fleet_registry.ServerRegistry(
+            removal_grace_s=follower.OUTAGE_GRACE_S
+        )
+        self.roster = fleet_roster.HostRoster(
+            own=fleet_model.HostInstance(
+                name=settings.name,
+                incarnation=uuid.uuid4().hex[:8],
+                zone=settings.zone,
+                caller_address=settings.callers.text,
+                peer_address=settings.peers.text,
+            )
+        )
+        self.exchange = io_datagrams.NoticeExchange(
+            roster=self.roster, timer=timer
+        )
+        self.enrolment = enrolment.Enrolment(
+            feed=feed, exchange=self.exchange, timer=timer
+        )
+        self.placer = placer.Placer(
+            registry=self.registry,
+            host=settings.name,
+            host_count=lambda: self.roster.count,
+        )
+        self.sender = io_pool.PooledSender(timer=timer, names=names)
+        self.registry.on_removed.append(self.sender.forget)
+        self.listener = io_pipeline.CallerListener(
+            handler=handler.ForwardingHandler(
+                forwarder=forwarder.Forwarder(
+                    timer=timer,
+                    configuration=self.configuration,
+                    placer=self.placer,
+                    sender=self.sender,
+                    retries=retry_window.RetryWindow(
+                        ratio=settings.retries.ratio,
+                        slack=settings.retries.slack,
+                        window_s=settings.retries.window_s,
+                    ),
+                    log=request_log.RequestLog(metrics=metrics),
+                    host_count=lambda: self.roster.count,
+                ),
+                names=names,
+            ),
+            limits=self._caller_limits,
+            timer=timer,
+        )
+        self.followers = self._build_followers(feed, decoder)
+        self.stopping = asyncio.Event()
+        self.tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def ready(self) -> bool:
+        """Return whether callers should use this host."""
+        return (
+            self.configuration.table is not None and not self.stopping.is_set()
+        )
+
+    def addresses_for(self, *, region: str, zone: str) -> list[str]:
+        """Return the caller addresses to name in a look-up answer."""
+        hosts = self.roster.serving()
+        if not self.stopping.is_set() and (self.ready or not hosts):
+            hosts.append(self.roster.own)
+        return directory_answer.choose(hosts, region=region, zone=zone)
+
+    async def run(self) -> None:
+        """Serve until the signal to stop, then stop gracefully."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
+        loop.add_signal_handler(signal.SIGINT, self.stopping.set)
+        await self.exchange.start()
+        self.sender.start()
+        self.listener.start_listening(
+            host=self.settings.callers.host, port=self.settings.callers.port
+        )
+        self.timer.subscribe(
+            interval_s=BELIEF_INTERVAL_S, callback=self._check_beliefs
+        )
+        self.tasks = [
+            asyncio.ensure_future(one.run()) for one in self.followers
+        ]
+        self.tasks.append(asyncio.ensure_future(self.enrolment.run()))
+        _LOGGER.info(
+            "entry host started",
+            extra={
+                "incarnation": self.roster.own.incarnation,
+                "zone": self.settings.zone.name,
+                "region": self.settings.zone.region,
+                "callers": self.settings.callers.text,
+            },
+        )
+        await self.stopping.wait()
+        await self._stop()
+
+    async def _stop(self) -> None:
+        started_at_s = self.timer.monotonic()
+        kill_at_s = started_at_s + self.settings.stop_grace_s - STOP_MARGIN_S
+        _LOGGER.info(
+            "entry host stops",
+            extra={"connections": len(self.listener.connections)},
+        )
+        self.exchange.leave()
+        self.listener.draining = True
+        withdrawal = asyncio.ensure_future(self.enrolment.withdraw())
+        await self.timer.sleep(self.settings.stop_grace_s * LEAVE_SHARE)
+        self.listener.stop()
+        while self.timer.monotonic() < kill_at_s:
+            self.listener.close_idle()
+            if not self.listener.busy:
+                break
+            await self.timer.sleep(STOP_POLL_S)
+        for task in (*self.tasks, withdrawal):
+            task.cancel()
+        _LOGGER.info(
+            "entry host stopped",
+            extra={
+                "took_s": round(self.timer.monotonic() - started_at_s, 3),
+                "connections": len(self.listener.connections),
+            },
+        )
+
+    def _caller_limits(self) -> routing_model.CallerLimits:
+        configuration = self.configuration.configuration
+        if configuration is None:
+            return io_pipeline.DEFAULT_LIMITS
+        return configuration.limits
+
+    def _build_followers(
+        self,
+        feed: store_feed.ObjectFeed,
+        decoder: fleet_decoder.ObjectDecoder,
+    ) -> list[follower.ObjectFollower]:
+        kinds: dict[store_feed.ObjectKind, follower.ObjectConsumer] = {
+            store_feed.ObjectKind.CONFIGURATION: (
+                consumers.ConfigurationConsumer(
+                    state=self.configuration, decoder=decoder, timer=self.timer
+                )
+            ),
+            store_feed.ObjectKind.BACKEND_SERVERS: consumers.ServerConsumer(
+                registry=self.registry, decoder=decoder, timer=self.timer
+            ),
+            store_feed.ObjectKind.EVACUATIONS: consumers.EvacuationConsumer(
+                registry=self.registry
+            ),
+        }
+        return [
+            follower.ObjectFollower(
+                kind=kind,
+                feed=feed,
+                consumer=consumer,
+                timer=self.timer,
+                rng=random.Random(),
+            )
+            for kind, consumer in kinds.items()
+        ]
+
+    def _check_beliefs(self) -> None:
+        self.registry.expire_missing(now=self.timer.monotonic())
+        self.metrics.set_belief("version", self.configuration.version)
+        self.metrics.set_belief("servers", len(self.registry.servers))
+        self.metrics.set_belief("entry_hosts", self.roster.count)
+
+
+class ReadyHandler(web.RequestHandler):
+    """Tell whether the host is ready."""
+
+    def initialize(self, host: ForwardingHost) -> None:
+        """Keep the host."""
+        self.host = host
+
+    def get(self) -> None:
+        """Answer 200 when ready, else 503."""
+        self.set_status(200 if self.host.ready else 503)
+
+
+class MetricsHandler(web.RequestHandler):
+    """Show the metrics."""
+
+    def initialize(self, host: ForwardingHost) -> None:
+        """Keep the host."""
+        self.host = host
+
+    def get(self) -> None:
+        """Answer with the Prometheus text format."""
+        self.set_header("Content-Type", "text/plain; version=0.0.4")
+        self.write(self.host.metrics.render())
--- a/src/samphirelug/helpers/logging.py
+++ b/src/samphirelug/helpers/logging.py
@@ -13,9 +13,17 @@
 LOG_FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
 
 
-def configure(*, level: str, entry_host: str) -> None:
-    """Send all log records of the process to standard error as JSON."""
-    handler = logging.StreamHandler(sys.stderr)
+def configure(
+    *,
+    level: str,
+    entry_host: str,
+    handler: logging.Handler | None = None,
+) -> None:
+    """Send all log records of the process to a handler as JSON.
+
+    Without a handler they go to standard error.
+    """
+    handler = handler or logging.StreamHandler(sys.stderr)
     handler.setFormatter(
         json_logger.JsonFormatter(
             LOG_FIELDS,
@@ -27,7 +35,7 @@
     root.handlers = [handler]
     root.setLevel(level)
     # A request refused in a flood must not cost a log line each.
-    logging.getLogger("tornado.access").setLevel(logging.ERROR)
+    logging.getLogger("tornado.access").setLevel(logging.CRITICAL)
     # It logs each malformed request and each body that came too slowly.
     logging.getLogger("tornado.general").setLevel(logging.WARNING)
     logging.getLogger("websockets").setLevel(logging.WARNING)
--- /dev/null
+++ b/tests/components/http/test_io_pipeline.py
@@ -0,0 +1,269 @@
+"""Test callers' connections: order, limits, closing."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from samphirelug.components.http import io_pipeline
+from samphirelug.components.http import model
+from samphirelug.helpers import timer as timer_helper
+from standins import forwarding as build
+
+
+class ScriptedHandler(io_pipeline.RequestHandler):
+    """Answer with the target after the time that the target names."""
+
+    def __init__(self) -> None:
+        self.started: list[str] = []
+        self.ended: list[str] = []
+        self.bodies: list[bytes] = []
+
+    def may_overlap(self, message: io_pipeline.CallerMessage) -> bool:
+        """Tell whether the request is a GET."""
+        return message.method == "GET"
+
+    def ends_with_caller(self, message: io_pipeline.CallerMessage) -> bool:
+        """Tell whether the request is a GET."""
+        return message.method == "GET"
+
+    async def handle(
+        self, message: io_pipeline.CallerMessage
+    ) -> model.Response:
+        """Wait and answer."""
+        self.started.append(message.target)
+        self.bodies.append(message.body)
+        await asyncio.sleep(float(message.target.rpartition("/")[2]))
+        self.ended.append(message.target)
+        return model.Response(200, "OK", (), message.target.encode())
+
+
+Script = Callable[
+    [
+        asyncio.StreamReader,
+        asyncio.StreamWriter,
+        io_pipeline.CallerListener,
+        ScriptedHandler,
+    ],
+    Awaitable[None],
+]
+
+
+def run(script: Script) -> ScriptedHandler:
+    """Run a script against a listener on loopback."""
+    handler = ScriptedHandler()
+
+    async def main() -> None:
+        listener = io_pipeline.CallerListener(
+            handler=handler,
+            limits=lambda: build.LIMITS,
+            timer=timer_helper.LoopTimerService(),
+        )
+        listener.start_listening(host="127.0.0.1", port=0)
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", listener.port
+        )
+        await script(reader, writer, listener, handler)
+        writer.close()
+        listener.stop()
+
+    asyncio.run(asyncio.wait_for(main(), 20))
+    return handler
+
+
+async def read_body(reader: asyncio.StreamReader) -> bytes:
+    """Read one response with a length; return its body."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = int(head.lower().split(b"content-length:")[1].split(b"\r\n")[0])
+    return await reader.readexactly(length)
+
+
+def test_pipelined_requests_run_together_and_are_answered_in_order() -> None:
+    """Guard against a slow request delaying or swapping later answers."""
+
+    async def script(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        listener: io_pipeline.CallerListener,
+        handler: ScriptedHandler,
+    ) -> None:
+        del listener
+        writer.write(
+            b"GET /0.2 HTTP/1.1\r\nHost: x\r\n\r\n"
+            b"GET /0 HTTP/1.1\r\nHost: x\r\n\r\n"
+        )
+        assert await read_body(reader) == b"/0.2"
+        assert handler.ended == ["/0", "/0.2"]
+        assert await read_body(reader) == b"/0"
+
+    run(script)
+
+
+def test_request_that_may_run_once_waits_for_earlier_answers() -> None:
+    """Guard against running what the caller sends again after a close."""
+
+    async def script(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        listener: io_pipeline.CallerListener,
+        handler: ScriptedHandler,
+    ) -> None:
+        del listener
+        writer.write(
+            b"GET /0.2 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+            b"POST /0 HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
+        )
+        assert await read_body(reader) == b"/0.2"
+        assert await reader.read() == b""
+        assert handler.started == ["/0.2"]
+
+    run(script)
+
+
+def test_chunked_body_arrives_whole() -> None:
+    """Guard against framing bytes in the body."""
+
+    async def script(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        listener: io_pipeline.CallerListener,
+        handler: ScriptedHandler,
+    ) -> None:
+        del listener
+        writer.write(
+            b"POST /0 HTTP/1.1\r\nHost: x\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"
+        )
+        await asyncio.sleep(0.05)
+        writer.write(b"2\r\nde\r\n0\r\n\r\n")
+        await read_body(reader)
+        assert handler.bodies == [b"abcde"]
+
+    run(script)
+
+
+def test_idempotent_request_ends_when_its_caller_leaves() -> None:
+    """Guard against work for a caller that has gone."""
+
+    async def script(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        listener: io_pipeline.CallerListener,
+        handler: ScriptedHandler,
+    ) -> None:
+        del reader, listener
+        writer.write(b"GET /0.3 HTTP/1.1\r\nHost: x\r\n\r\n")
+        await asyncio.sleep(0.1)
+        writer.close()
+        await asyncio.sleep(0.4)
+        assert handler.started == ["/0.3"]
+        assert not handler.ended
+
+    run(script)
+
+
+def test_request_that_may_run_once_goes_on_without_its_caller() -> None:
+    """Guard against cutting off a filing in the middle."""
+
+    async def script(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        listener: io_pipeline.CallerListener,
+        handler: ScriptedHandler,
+    ) -> None:
+        del reader
+        writer.write(
+            b"POST /0.3 HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
+        )
+        await asyncio.sleep(0.1)
+        writer.close()
+        await asyncio.sleep(0.1)
+        assert listener.busy
+        await asyncio.sleep(0.3)
+        assert handler.ended == ["/0.3"]
+        assert not listener.busy
+
+    run(script)
+
+
+def test_limits_are_answered_with_their_status() -> None:
+    """Guard against unbounded headers and bodies."""
+    large_header = b"X: " + b"x" * 1100
+    for sent, status in (
+        (b"GET /0 HTTP/1.1\r\nHost: x\r\n" + large_header + b"\r\n\r\n", 431),
+        (
+            b"POST /0 HTTP/1.1\r\nHost: x\r\nContent-Length: 2000\r\n\r\n"
+            + b"x" * 2000,
+            413,
+        ),
+        (b"nonsense\r\n\r\n", 400),
+        (
+            b"POST /0 HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            400,
+        ),
+    ):
+
+        async def script(
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+            listener: io_pipeline.CallerListener,
+            handler: ScriptedHandler,
+            sent: bytes = sent,
+            status: int = status,
+        ) -> None:
+            del listener
+            writer.write(sent)
+            line = await reader.readline()
+            assert line.split()[1] == str(status).encode()
+            assert not handler.started
+
+        run(script)
+
+
+def test_draining_listener_closes_after_the_last_pending_answer() -> None:
+    """Guard against a planned stop cutting off pipelined requests."""
+
+    async def script(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        listener: io_pipeline.CallerListener,
+        handler: ScriptedHandler,
+    ) -> None:
+        del handler
+        writer.write(
+            b"GET /0.1 HTTP/1.1\r\nHost: x\r\n\r\n"
+            b"GET /0.1 HTTP/1.1\r\nHost: x\r\n\r\n"
+        )
+        await asyncio.sleep(0.05)
+        listener.draining = True
+        first = await reader.readuntil(b"\r\n\r\n")
+        assert b"close" not in first.lower()
+        await reader.readexactly(len(b"/0.1"))
+        second = await reader.readuntil(b"\r\n\r\n")
+        assert b"connection: close" in second.lower()
+        assert await reader.read() == b"/0.1"
+
+    run(script)
+
+
+def test_caller_may_wait_for_leave_to_send_its_body() -> None:
+    """Guard against a caller that waits a second before its body."""
+
+    async def script(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        listener: io_pipeline.CallerListener,
+        handler: ScriptedHandler,
+    ) -> None:
+        del listener
+        writer.write(
+            b"POST /0 HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n"
+            b"Expect: 100-continue\r\n\r\n"
+        )
+        interim = await reader.readuntil(b"\r\n\r\n")
+        assert interim.startswith(b"HTTP/1.1 100 ")
+        writer.write(b"ok")
+        await read_body(reader)
+        assert handler.bodies == [b"ok"]
+
+    run(script)
--- a/tests/components/store/test_io_http_store.py
+++ b/tests/components/store/test_io_http_store.py
@@ -11,13 +11,12 @@
 
 from samphirelug.components.store import budget
 from samphirelug.components.store import io_http_store
+from samphirelug.components.store import io_transport
 from samphirelug.helpers import timer as timer_helper
 from samphirelug import result_codes
 from standins import store as store_standin
 
-TIMEOUTS = io_http_store.StoreTimeouts(
-    connect_s=0.3, request_s=0.3, list_s=0.3
-)
+TIMEOUTS = io_transport.StoreTimeouts(connect_s=0.3, request_s=0.3, list_s=0.3)
 
 
 def make_client(port: int) -> io_http_store.HttpObjectStore:
