Give a misdirected attempt its result code

Cause: FailureKind.MISDIRECTED was added without a code for the run tokens' attempt loop; test_schedules drives every kind through it and failed with KeyError in the whole suite (500 passed, 1 failed). Ruled out: leaving the kind out of that loop; the enum is shared. Change: the kind maps to BACKEND_REFUSED, as the other kinds that were certainly not run. Conclusion: the run-token path treats it as not run.

--- a/src/samphirelug/components/execution/executor.py
+++ b/src/samphirelug/components/execution/executor.py
@@ -34,6 +34,7 @@
     backend_model.FailureKind.NOT_SENT: ResultCode.BACKEND_UNREACHABLE,
     backend_model.FailureKind.REFUSED: ResultCode.BACKEND_REFUSED,
     backend_model.FailureKind.LEAVING: ResultCode.BACKEND_REFUSED,
+    backend_model.FailureKind.MISDIRECTED: ResultCode.BACKEND_REFUSED,
     backend_model.FailureKind.TIMEOUT: ResultCode.BACKEND_TIMEOUT,
     backend_model.FailureKind.RESET: ResultCode.BACKEND_RESET,
     backend_model.FailureKind.INCOMPLETE: ResultCode.ANSWER_INCOMPLETE,
