Split a route's requests by object within the weights

Ruled out: assigning objects alone; 72 objects miss a weight by up to a tenth. A host without a configuration no longer names itself in look-up answers.

--- a/src/samphirelug/components/forwarding/forwarder.py
+++ b/src/samphirelug/components/forwarding/forwarder.py
@@ -113,7 +113,10 @@
                 "no route has this host name and path",
             )
         trace.route = route
-        service = current.configuration.services[self.split.pick(route)]
+        object_key = _object_key(request, route)
+        service = current.configuration.services[
+            self.split.pick(route, object_key=object_key)
+        ]
         trace.service = service.name
         self.retries.count_first(service.name, now=self.timer.monotonic())
         answer_by_s = request.received_at_s + min(
@@ -122,7 +125,7 @@
         if request.deadline_at_s is not None:
             answer_by_s = min(answer_by_s, request.deadline_at_s)
         return await self._attempts(
-            request, route, service, answer_by_s, trace
+            request, route, service, object_key, answer_by_s, trace
         )
 
     async def _attempts(
@@ -130,6 +133,7 @@
         request: model.ReceivedRequest,
         route: routing_model.Route,
         service: routing_model.Service,
+        object_key: str,
         answer_by_s: float,
         trace: request_log.RequestTrace,
     ) -> RequestResult:
@@ -147,7 +151,7 @@
             placed = self.placer.choose(
                 route=route,
                 service=service,
-                object_key=_object_key(request, route),
+                object_key=object_key,
                 tried=tried,
                 now=now,
             )
--- a/src/samphirelug/components/placement/ranking.py
+++ b/src/samphirelug/components/placement/ranking.py
@@ -6,39 +6,15 @@
 """
 
 from collections.abc import Iterable
-from collections.abc import Mapping
-import math
-
-import xxhash
 
 from samphirelug.components.fleet import model
 from samphirelug.components.fleet import registry as fleet_registry
 from samphirelug.components.placement import const
-
-# Maps a 64-bit hash into the open interval from 0 to 1.
-HASH_SCALE = 1.0 / (1 << 64)
+from samphirelug.helpers import rendezvous
 
 CacheKey = tuple[str, str, frozenset[str]]
 
 
-def weighted_score(*, key: str, name: str, weight: float) -> float:
-    """Return the weighted rendezvous score of a name for a key."""
-    digest = xxhash.xxh64_intdigest(f"{key}\0{name}".encode())
-    return -weight / math.log((digest + 0.5) * HASH_SCALE)
-
-
-def order_names(*, key: str, weights: Mapping[str, float]) -> list[str]:
-    """Return the names by descending weighted rendezvous score."""
-    return sorted(
-        weights,
-        key=lambda name: (
-            weighted_score(key=key, name=name, weight=weights[name]),
-            name,
-        ),
-        reverse=True,
-    )
-
-
 def order_servers(
     *, key: str, servers: Iterable[model.ServerInstance]
 ) -> tuple[model.ServerInstance, ...]:
@@ -56,9 +32,9 @@
         for region, in_region in by_region.items()
     }
     ordered: list[model.ServerInstance] = []
-    for region in order_names(key=key, weights=region_weights):
+    for region in rendezvous.order_by_weight(key=key, weights=region_weights):
         in_region = by_region[region]
-        names = order_names(
+        names = rendezvous.order_by_weight(
             key=key,
             weights={name: float(s.slots) for name, s in in_region.items()},
         )
--- a/src/samphirelug/forwarding_host.py
+++ b/src/samphirelug/forwarding_host.py
@@ -116,7 +116,7 @@
     def addresses_for(self, *, region: str, zone: str) -> list[str]:
         """Return the caller addresses to name in a look-up answer."""
         hosts = self.roster.serving()
-        if not self.stopping.is_set() and (self.ready or not hosts):
+        if self.ready:
             hosts.append(self.roster.own)
         return directory_answer.choose(hosts, region=region, zone=zone)
 
--- a/src/samphirelug/helpers/rendezvous.py
+++ b/src/samphirelug/helpers/rendezvous.py
@@ -1,9 +1,14 @@
 """Rank names by rendezvous (highest random weight) hashing."""
 
 from collections.abc import Iterable
+from collections.abc import Mapping
+import math
 
 import xxhash
 
+# Maps a 64-bit hash into the open interval from 0 to 1.
+HASH_SCALE = 1.0 / (1 << 64)
+
 
 def rank_names(*, key: str, names: Iterable[str]) -> list[str]:
     """Return the names ordered by their weight for the key."""
@@ -15,3 +20,20 @@
         ),
         reverse=True,
     )
+
+
+def order_by_weight(*, key: str, weights: Mapping[str, float]) -> list[str]:
+    """Return the names in an order in which each comes first by weight.
+
+    A name that joins or leaves moves only the keys that it takes or had.
+    """
+    return sorted(
+        weights,
+        key=lambda name: (_weighted_score(key, name, weights[name]), name),
+        reverse=True,
+    )
+
+
+def _weighted_score(key: str, name: str, weight: float) -> float:
+    digest = xxhash.xxh64_intdigest(f"{key}\0{name}".encode())
+    return -weight / math.log((digest + 0.5) * HASH_SCALE)
