Add a fault soak of real entry hosts, and name the inputs of refusals

Cause: the promises on the platform's path had no test with real processes, signals and faulty paths; a refusal for load named no server and no load. OVERLOADED names the servers, their load and slots.

--- a/src/samphirelug/components/forwarding/request_log.py
+++ b/src/samphirelug/components/forwarding/request_log.py
@@ -174,5 +174,5 @@
             self.metrics.count_retry(entry.outcome)
 
 
-def _milliseconds(seconds: float) -> int:
-    return round(seconds * 1000)
+def _milliseconds(seconds: float | None) -> int | None:
+    return None if seconds is None else round(seconds * 1000)
--- a/src/samphirelug/components/placement/load.py
+++ b/src/samphirelug/components/placement/load.py
@@ -23,19 +23,23 @@
     def __init__(self) -> None:
         self.in_flight = 0
         self.others = 0.0
-        self.reported_at_s = 0.0
+        self.reported_at_s: float | None = None
         self.failures_in_row = 0
         self.pause_s = 0.0
         self.suspended_until_s = 0.0
 
     def estimate(self, now: float) -> float:
         """Return the requests that the server has, from all hosts."""
+        if self.reported_at_s is None:
+            return self.in_flight
         age_s = max(0.0, now - self.reported_at_s)
         decay: float = 0.5 ** (age_s / const.REPORT_HALF_LIFE_S)
         return self.in_flight + self.others * decay
 
-    def report_age_s(self, now: float) -> float:
-        """Return the age of the newest report, the host's uptime if none."""
+    def report_age_s(self, now: float) -> float | None:
+        """Return the age of the newest report, None if there is none."""
+        if self.reported_at_s is None:
+            return None
         return now - self.reported_at_s
 
     def observe_report(self, report: LoadReport, *, now: float) -> None:
--- a/src/samphirelug/components/placement/placer.py
+++ b/src/samphirelug/components/placement/placer.py
@@ -42,7 +42,8 @@
     # Position in the object's order of servers.
     choice: int
     estimate: float
-    report_age_s: float
+    # None if the server has not reported its load.
+    report_age_s: float | None
 
 
 class Placer:
@@ -77,9 +78,9 @@
             service=service.name,
             regions=route.allowed_regions,
         )
-        considered = 0
+        full: list[Candidate] = []
         for choice, server in enumerate(order):
-            if considered >= const.SERVERS_PER_OBJECT:
+            if len(full) >= const.SERVERS_PER_OBJECT:
                 break
             if server.instance_id in tried:
                 continue
@@ -93,14 +94,14 @@
                 hosts=self.host_count(),
             ):
                 continue
-            ratio = const.SPILL_RATIO if considered else const.FULL_RATIO
-            considered += 1
-            estimate = load.estimate(now)
-            if estimate < ratio * server.slots:
-                return Success(
-                    Candidate(server, choice, estimate, load.report_age_s(now))
-                )
-        return Failure(self._refuse(order=order, considered=considered))
+            ratio = const.SPILL_RATIO if full else const.FULL_RATIO
+            candidate = Candidate(
+                server, choice, load.estimate(now), load.report_age_s(now)
+            )
+            if candidate.estimate < ratio * server.slots:
+                return Success(candidate)
+            full.append(candidate)
+        return Failure(_refusal(order=order, full=full))
 
     def sent(
         self,
@@ -172,27 +173,33 @@
                 },
             )
 
-    def _refuse(
-        self, *, order: Collection[object], considered: int
-    ) -> result_codes.Refusal:
-        if not order:
-            return result_codes.Refusal(
-                result_codes.ResultCode.NO_BACKEND_SERVER,
-                "no usable server in the allowed regions",
-                const.SUSPEND_FIRST_S,
-            )
-        if not considered:
-            return result_codes.Refusal(
-                result_codes.ResultCode.BACKEND_UNREACHABLE,
-                "every server is paused, cold or was tried",
-                const.SUSPEND_FIRST_S,
-            )
-        return result_codes.Refusal(
-            result_codes.ResultCode.OVERLOADED,
-            "the object's servers have no room",
-            const.REFUSED_RETRY_AFTER_S,
-        )
-
     def _forget(self, server: fleet_model.ServerInstance) -> None:
         self.loads.forget(server.incarnation)
         self.cold_gate.forget(server.incarnation)
+
+
+def _refusal(
+    *, order: Collection[object], full: Collection[Candidate]
+) -> result_codes.Refusal:
+    if not order:
+        return result_codes.Refusal(
+            result_codes.ResultCode.NO_BACKEND_SERVER,
+            "no usable server in the allowed regions",
+            const.SUSPEND_FIRST_S,
+        )
+    if not full:
+        return result_codes.Refusal(
+            result_codes.ResultCode.BACKEND_UNREACHABLE,
+            f"all {len(order)} servers are paused, cold or were tried",
+            const.SUSPEND_FIRST_S,
+        )
+    loads = ", ".join(
+        f"{one.server.instance_id} has {one.estimate:.1f} requests for"
+        f" {one.server.slots} slots"
+        for one in full
+    )
+    return result_codes.Refusal(
+        result_codes.ResultCode.OVERLOADED,
+        f"no room: {loads}",
+        const.REFUSED_RETRY_AFTER_S,
+    )
--- /dev/null
+++ b/standins/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Run real entry hosts under random faults and check the promises."""
--- /dev/null
+++ b/standins/soak/proxy.py
@@ -0,0 +1,72 @@
+"""Carry connections on loopback, and delay, cut, silence or reset them."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+
+class FaultyProxy:
+    """Stand between a client and one address."""
+
+    def __init__(self, *, target: tuple[str, int]) -> None:
+        self.target = target
+        self.port = 0
+        self.delay_s = 0.0
+        # Bytes pass in the directions whose event is set.
+        self.open = {"up": asyncio.Event(), "down": asyncio.Event()}
+        for event in self.open.values():
+            event.set()
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.server: asyncio.Server | None = None
+
+    async def start(self, host: str) -> None:
+        """Listen on a free port."""
+        self.server = await asyncio.start_server(self._accept, host, 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def reset_all(self) -> None:
+        """Reset the open connections."""
+        for writer in list(self.writers):
+            sock = writer.get_extra_info("socket")
+            with contextlib.suppress(OSError):
+                sock.setsockopt(
+                    socket.SOL_SOCKET,
+                    socket.SO_LINGER,
+                    struct.pack("ii", 1, 0),
+                )
+            writer.transport.abort()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            up_reader, up_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers |= {writer, up_writer}
+        try:
+            await asyncio.gather(
+                self._carry("up", reader, up_writer),
+                self._carry("down", up_reader, writer),
+            )
+        finally:
+            for one in (writer, up_writer):
+                self.writers.discard(one)
+                one.close()
+
+    async def _carry(
+        self,
+        direction: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(65536):
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                await self.open[direction].wait()
+                writer.write(data)
+                await writer.drain()
+        writer.close()
--- /dev/null
+++ b/standins/soak/world.py
@@ -0,0 +1,234 @@
+"""Start real entry hosts against stand-ins of store and servers."""
+
+import asyncio
+import os
+import pathlib
+import random
+import signal
+import socket
+import sys
+import time
+
+import orjson
+
+from standins.soak import proxy
+from standins.soak import servers
+from standins.soak import store
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+READY_TIMEOUT_S = 60.0
+READY_POLL_S = 0.1
+ZONES = {"a1": "a", "a2": "a"}
+
+
+def free_port(host: str) -> int:
+    """Return a port that is free at the moment."""
+    with socket.socket() as sock:
+        sock.bind((host, 0))
+        port: int = sock.getsockname()[1]
+        return port
+
+
+class HostProcess:
+    """Hold one entry host's settings and process."""
+
+    def __init__(
+        self, *, number: int, folder: pathlib.Path, store_address: str
+    ) -> None:
+        self.name = f"host-{number}"
+        # Soaks that run at the same time must not share addresses.
+        network, subnet = divmod(os.getpid() % 50_000, 250)
+        self.ip = f"127.{20 + network}.{subnet}.{10 + number}"
+        self.folder = folder
+        self.directory = free_port(self.ip)
+        self.process: asyncio.subprocess.Process | None = None
+        self.settings = {
+            "NodeName": self.name,
+            "Ip": self.ip,
+            "Zone": sorted(ZONES)[number % 2],
+            "Region": "a",
+            "Zones": ZONES,
+            "Listen": {
+                "Front": f"{self.ip}:{free_port(self.ip)}",
+                "Ready": f"{self.ip}:{free_port(self.ip)}",
+                "Directory": f"{self.ip}:{self.directory}",
+            },
+            "PortRange": [17660, 17675],
+            "Bounds": {
+                "Grace": "6s",
+                "RetryBudgetRatio": 0.2,
+                "RetryBudgetSlack": 60,
+                "BudgetWindow": "10s",
+                "ttl_max": "5s",
+            },
+            "Platform": {"Address": store_address},
+        }
+
+    async def start(self) -> None:
+        """Start the process, unless another fault has started it."""
+        if self.process is not None and self.process.returncode is None:
+            return
+        path = self.folder / f"{self.name}.json"
+        path.write_bytes(orjson.dumps(self.settings))
+        log = (self.folder / f"{self.name}.log").open("ab")
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(ROOT / "platform" / "start.py"),
+            env={**os.environ, "SAMPHIRELUG_SETTINGS": str(path)},
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it runs."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def wait(self) -> int:
+        """Return the exit code of the process."""
+        assert self.process is not None
+        return await self.process.wait()
+
+
+class World:
+    """Hold the store, the servers and the entry hosts."""
+
+    def __init__(
+        self, *, folder: pathlib.Path, rng: random.Random, hosts: int
+    ) -> None:
+        self.folder = folder
+        self.rng = rng
+        self.book = store.ObjectBook(rng=rng)
+        self.runs = servers.RunBook()
+        self.servers: dict[str, servers.StandinServer] = {}
+        self.proxies: dict[str, proxy.FaultyProxy] = {}
+        self.store_proxies: list[proxy.FaultyProxy] = []
+        self.hosts: list[HostProcess] = []
+        self.host_count = hosts
+        self.started = 0
+        self.version = 0
+
+    async def start(self) -> None:
+        """Start everything and wait until all hosts are ready."""
+        port = free_port("127.0.0.1")
+        store.serve(self.book, host="127.0.0.1", port=port)
+        self.change_configuration()
+        for _ in range(4):
+            await self.add_server()
+        for number in range(self.host_count):
+            one = proxy.FaultyProxy(target=("127.0.0.1", port))
+            await one.start("127.0.0.1")
+            self.store_proxies.append(one)
+            host = HostProcess(
+                number=number,
+                folder=self.folder,
+                store_address=f"127.0.0.1:{one.port}",
+            )
+            self.hosts.append(host)
+            await host.start()
+        for host in self.hosts:
+            await self._wait_ready(host)
+
+    async def stop(self) -> list[int]:
+        """Stop the hosts that this world started; return exit codes."""
+        for host in self.hosts:
+            host.send(signal.SIGCONT)
+            host.send(signal.SIGTERM)
+        codes = []
+        for host in self.hosts:
+            try:
+                codes.append(await asyncio.wait_for(host.wait(), 10))
+            except TimeoutError:
+                host.send(signal.SIGKILL)
+                codes.append(await host.wait())
+        return codes
+
+    async def add_server(self) -> None:
+        """Start a server behind a proxy and enter it in the store."""
+        self.started += 1
+        instance_id = f"i-{self.started}"
+        server = servers.StandinServer(
+            instance_id=instance_id, book=self.runs, rng=self.rng
+        )
+        server.start("127.0.0.1")
+        front = proxy.FaultyProxy(target=("127.0.0.1", server.listener.port))
+        await front.start("127.0.0.1")
+        self.servers[instance_id] = server
+        self.proxies[instance_id] = front
+        self.enter(instance_id, "ready")
+
+    def enter(self, instance_id: str, state: str) -> None:
+        """Write a server's entry."""
+        self.book.put(
+            "servers",
+            instance_id,
+            {
+                "Address": f"127.0.0.1:{self.proxies[instance_id].port}",
+                "born": 1,
+                "Info": {
+                    "Service": "desk",
+                    "Zone": self.rng.choice(sorted(ZONES)),
+                    "MaxConcurrency": 4,
+                },
+                "Status": {"State": state, "ColdRemaining": "0ms"},
+            },
+        )
+
+    def drain_server(self) -> None:
+        """Let the oldest server leave."""
+        instance_id = next(iter(self.servers))
+        server = self.servers.pop(instance_id)
+        self.enter(instance_id, "draining")
+        server.handler.left_at_s = time.monotonic()
+
+    def change_configuration(self) -> None:
+        """Write the next version of the configuration."""
+        self.version += 3
+        action = {"Service": "desk", "Timeout": "1s", "MaxAttempts": 2}
+        rules = [
+            {
+                "Name": name,
+                "Type": kind,
+                "TargetLatency": "400ms",
+                "SessionAffinity": True,
+                "Match": {"PathPrefix": f"/{name}/"},
+                "Action": action,
+            }
+            for name, kind in (("status", "safe"), ("filing", "unsafe"))
+        ]
+        self.book.put(
+            "config",
+            "main",
+            {
+                "Version": f"{self.version:08x}",
+                "Limits": {
+                    "MaxHeaderBytes": 16384,
+                    "MaxBodyBytes": 1048576,
+                    "HeaderTimeout": "3s",
+                    "IdleTimeout": "15s",
+                },
+                "Listeners": [{"Hostname": "portal.example", "Rules": rules}],
+                "Clusters": [{"Name": "desk", "ColdPerS": 5}],
+            },
+        )
+
+    async def _wait_ready(self, host: HostProcess) -> None:
+        for _ in range(round(READY_TIMEOUT_S / READY_POLL_S)):
+            if await self._is_ready(host):
+                return
+            await asyncio.sleep(READY_POLL_S)
+        raise TimeoutError(f"{host.name} is not ready")
+
+    async def _is_ready(self, host: HostProcess) -> bool:
+        listen = host.settings["Listen"]
+        assert isinstance(listen, dict)
+        ip, _, port = listen["Ready"].partition(":")
+        try:
+            reader, writer = await asyncio.open_connection(ip, int(port))
+            writer.write(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            line = await reader.readline()
+        except OSError:
+            return False
+        writer.close()
+        return b" 200 " in line
--- /dev/null
+++ b/tests/system/test_soak.py
@@ -0,0 +1,37 @@
+"""Run short seeded soaks of real entry hosts."""
+
+import asyncio
+import pathlib
+
+import pytest
+
+from standins.soak import __main__ as soak_main
+
+SECONDS = 6.0
+HOSTS = 3
+
+
+def run(seed: int, folder: pathlib.Path, *, planned_only: bool) -> list[str]:
+    """Return the broken promises of a seed."""
+    report = asyncio.run(
+        soak_main.soak(
+            seed=seed,
+            seconds=SECONDS,
+            hosts=HOSTS,
+            folder=folder,
+            planned_only=planned_only,
+        )
+    )
+    assert report.statuses.get("200", 0) > 100
+    return report.violations
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_promises_hold_under_faults(seed: int, tmp_path: pathlib.Path) -> None:
+    """Guard against double runs, false refusals and mixed answers."""
+    assert not run(seed, tmp_path, planned_only=False)
+
+
+def test_planned_stops_cut_off_nothing(tmp_path: pathlib.Path) -> None:
+    """Guard against requests lost in restarts, reloads and drains."""
+    assert not run(3, tmp_path, planned_only=True)
