--- a/src/samphirelug/components/forwarding/const.py
+++ b/src/samphirelug/components/forwarding/const.py
@@ -11,6 +11,8 @@
 MAX_SENDS = 3
 # Time in which another server is likely to have become usable.
 BUDGET_RETRY_AFTER_S = 0.25
+# A host that has just started reads its configuration in about this time.
+STARTING_RETRY_AFTER_S = 0.3
 # Lines a second for requests that got their answer; the others are counted.
 ANSWERED_LINES_PER_S = 50
 # Lines a second for requests that were refused or failed.
--- a/src/samphirelug/components/forwarding/forwarder.py
+++ b/src/samphirelug/components/forwarding/forwarder.py
@@ -104,7 +104,7 @@
             return _refuse(
                 result_codes.ResultCode.NO_CATALOGUE,
                 "no configuration yet",
-                1.0,
+                const.STARTING_RETRY_AFTER_S,
             )
         route = current.find(hostname=request.hostname, path=request.path)
         if route is None:
--- a/tests/components/forwarding/test_forwarder.py
+++ b/tests/components/forwarding/test_forwarder.py
@@ -132,7 +132,11 @@
 
 def test_unknown_configuration_is_no_unknown_route() -> None:
     """Guard against 404 from a host that has no configuration yet."""
-    assert code_of(World(version=0).run(STATUS)) is Code.NO_CATALOGUE
+    starting = World(version=0).run(STATUS)
+    assert code_of(starting) is Code.NO_CATALOGUE
+    assert isinstance(starting, result_codes.Refusal)
+    # The configuration is there before a caller would wait any longer.
+    assert 0.0 < starting.retry_after_s <= 0.5
     other = build.request(target="/other/1")
     assert code_of(World().run(other)) is Code.UNKNOWN_PATH
 
