Keep the answer behind a stray one in the same read

Bytes of every skipped connection were logged: one read held a stray answer to the former request and the whole awaited answer. The parser dropped what followed the first message, and the next stray answer, which carried the awaited id, was taken for the answer. Change: the response parser has a file of its own and keeps all whole responses in order. A repeat of a request never uses the connection of its first send, where a stray answer could carry the same id.

--- a/src/samphirelug/components/http/io_pool.py
+++ b/src/samphirelug/components/http/io_pool.py
@@ -17,6 +17,7 @@
 from samphirelug.components.forwarding import model
 from samphirelug.components.http import const
 from samphirelug.components.http import model as http_model
+from samphirelug.components.http import response_parser
 from samphirelug.components.placement import load as placement_load
 from samphirelug import core
 from samphirelug.helpers import http_fields
@@ -25,93 +26,6 @@
 _LOGGER = logging.getLogger(__name__)
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)", re.IGNORECASE)
 BODY_METHODS = frozenset(("POST", "PUT", "PATCH"))
-NO_BODY_STATUS = (204, 304)
-
-
-class MessageParser:
-    """Collect one response from the bytes of a connection."""
-
-    def __init__(self, *, is_head: bool) -> None:
-        self.is_head = is_head
-        self.parser = httptools.HttpResponseParser(self)
-        self.reason = ""
-        self.headers: list[tuple[str, str]] = []
-        self.chunks: list[bytes] = []
-        self.size = 0
-        self.has_headers = False
-        self.complete = False
-        self.keep_alive = False
-
-    def feed(self, data: bytes) -> None:
-        """Take bytes from the connection."""
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserError:
-            if not self.complete:
-                raise
-            # Bytes that belong to no request follow a whole answer.
-            self.keep_alive = False
-
-    @property
-    def status(self) -> int:
-        """Return the status of the response."""
-        return int(self.parser.get_status_code())
-
-    def get(self, name: str) -> str | None:
-        """Return the first value of a header."""
-        for known, value in self.headers:
-            if known.lower() == name:
-                return value
-        return None
-
-    @property
-    def ends_with_connection(self) -> bool:
-        """Return whether only the connection's end ends the body."""
-        return (
-            self.has_headers
-            and self.get("content-length") is None
-            and self.get("transfer-encoding") is None
-        )
-
-    # Callbacks of the parser
-
-    def on_message_begin(self) -> None:
-        """Reject a second response in the same bytes."""
-        if self.complete:
-            raise httptools.HttpParserError("bytes after the response")
-
-    def on_status(self, status: bytes) -> None:
-        """Keep the reason phrase."""
-        self.reason += status.decode("latin-1")
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Keep a header."""
-        self.headers.append((name.decode("latin-1"), value.decode("latin-1")))
-
-    def on_headers_complete(self) -> None:
-        """Note that the status and headers are known."""
-        self.has_headers = True
-        if self.is_head:
-            self.complete = True
-
-    def on_body(self, body: bytes) -> None:
-        """Keep a part of the body."""
-        self.size += len(body)
-        if self.size > const.MAX_ANSWER_BYTES:
-            raise httptools.HttpParserError("the response is too large")
-        self.chunks.append(body)
-
-    def on_message_complete(self) -> None:
-        """Note the end of the response."""
-        if self.status >= 200:
-            self.complete = True
-            # The parser forgets it when the message has ended.
-            self.keep_alive = bool(self.parser.should_keep_alive())
-            return
-        # An interim response; the final one follows.
-        self.has_headers = False
-        self.reason = ""
-        self.headers.clear()
 
 
 class ServerConnection:
@@ -121,7 +35,8 @@
         self.stream = stream
         self.idle_since_s = 0.0
         self.kept_s = const.KEPT_DEFAULT_S
-        self.used = False
+        # A stray answer to this request may still arrive.
+        self.last_request_id = ""
 
     def is_clean(self) -> bool:
         """Tell whether the connection is open with nothing to read."""
@@ -237,7 +152,11 @@
                 # The others were idle for longer.
                 return None
             kept.pop()
-            if idle_s < connection.kept_s and connection.is_clean():
+            if (
+                idle_s < connection.kept_s
+                and connection.last_request_id != attempt.request.request_id
+                and connection.is_clean()
+            ):
                 return connection
             connection.close()
         return None
@@ -262,9 +181,13 @@
                 "the connection closed before sending",
             )
         written.add_done_callback(_ignore_error)
+        connection.last_request_id = attempt.request.request_id
+        parser = response_parser.ResponseParser(
+            is_head=attempt.request.method == "HEAD"
+        )
         try:
             async with asyncio.timeout(left_s):
-                parser = await self._read(connection, attempt)
+                response = await self._read(connection, parser, attempt)
         except TimeoutError:
             connection.close()
             return _failed(
@@ -282,55 +205,62 @@
                 backend_model.FailureKind.RESET,
                 f"the connection ended early: {_cause(error)}",
             )
-        connection.used = True
-        if _may_keep(connection, parser):
-            connection.kept_s = _kept_s(parser)
+        if _may_keep(connection, parser, response):
+            connection.kept_s = _kept_s(response)
             self._keep(connection, attempt)
         else:
             connection.close()
-        return self._classify(parser, attempt)
+        return self._classify(response, attempt)
 
     async def _read(
-        self, connection: ServerConnection, attempt: model.Attempt
-    ) -> MessageParser:
+        self,
+        connection: ServerConnection,
+        parser: response_parser.ResponseParser,
+        attempt: model.Attempt,
+    ) -> response_parser.ParsedResponse:
         """Return the answer to this request; skip answers to others."""
         while True:
-            parser = MessageParser(is_head=attempt.request.method == "HEAD")
-            while not parser.complete:
-                try:
-                    data = await connection.stream.read_bytes(
-                        const.READ_CHUNK_BYTES, partial=True
-                    )
-                except iostream.StreamClosedError as error:
-                    if parser.ends_with_connection and not error.real_error:
-                        break
+            while parser.whole:
+                response = parser.whole.popleft()
+                answered = response.get(self.names.request_id)
+                if answered in (None, attempt.request.request_id):
+                    return response
+                _LOGGER.info(
+                    "skipped an answer to another request",
+                    extra={
+                        "request_id": attempt.request.request_id[:128],
+                        "answered_request_id": (answered or "")[:128],
+                        "server": attempt.server.instance_id,
+                    },
+                )
+            if parser.error:
+                raise httptools.HttpParserError(parser.error)
+            try:
+                data = await connection.stream.read_bytes(
+                    const.READ_CHUNK_BYTES, partial=True
+                )
+            except iostream.StreamClosedError as error:
+                # A reset may have cut off a body that has no length.
+                if error.real_error or not parser.end():
                     raise
+            else:
                 parser.feed(data)
-            answered = parser.get(self.names.request_id)
-            if answered in (None, attempt.request.request_id):
-                return parser
-            _LOGGER.info(
-                "skipped an answer to another request",
-                extra={
-                    "request_id": attempt.request.request_id[:128],
-                    "answered_request_id": (answered or "")[:128],
-                    "server": attempt.server.instance_id,
-                },
-            )
 
     def _classify(
-        self, parser: MessageParser, attempt: model.Attempt
+        self,
+        response: response_parser.ParsedResponse,
+        attempt: model.Attempt,
     ) -> model.AttemptResult:
-        report = _parse_report(parser.get(self.names.server_load))
-        status = parser.status
+        report = _parse_report(response.get(self.names.server_load))
+        status = response.status
         if status == 421:
             return _failed(
                 backend_model.FailureKind.MISDIRECTED,
                 "another incarnation has the address",
                 report,
             )
-        if parser.get(self.names.not_executed) is not None:
-            closing = _says_close(parser)
+        if response.get(self.names.not_executed) is not None:
+            closing = _says_close(response)
             return _failed(
                 backend_model.FailureKind.LEAVING
                 if closing and status != 503
@@ -338,15 +268,15 @@
                 f"the server did not run it: status {status}",
                 report,
             )
-        if parser.get(self.names.request_id) is None or (
-            parser.get(self.names.response_seal) is None
+        if response.get(self.names.request_id) is None or (
+            response.get(self.names.response_seal) is None
         ):
             return _failed(
                 backend_model.FailureKind.INCOMPLETE,
                 f"the answer with status {status} is not the server's",
                 report,
             )
-        if parser.get("content-encoding") is not None:
+        if response.get("content-encoding") is not None:
             return _failed(
                 backend_model.FailureKind.INCOMPLETE,
                 "the body is encoded",
@@ -355,12 +285,12 @@
         dropped = frozenset(("content-length",))
         answer = core.Answer(
             status=status,
-            reason=parser.reason,
-            headers=http_fields.forwarded(parser.headers, dropped=dropped),
-            body=b"".join(parser.chunks),
+            reason=response.reason,
+            headers=http_fields.forwarded(response.headers, dropped=dropped),
+            body=response.body,
             server=attempt.server.instance_id,
         )
-        cold_ms = parser.get(self.names.cold_ms)
+        cold_ms = response.get(self.names.cold_ms)
         cold_s = int(cold_ms) / 1000 if cold_ms and cold_ms.isdigit() else None
         return Success(model.AttemptAnswer(answer, report, cold_s))
 
@@ -407,23 +337,28 @@
                 del self.kept[incarnation]
 
 
-def _may_keep(connection: ServerConnection, parser: MessageParser) -> bool:
+def _may_keep(
+    connection: ServerConnection,
+    parser: response_parser.ResponseParser,
+    response: response_parser.ParsedResponse,
+) -> bool:
     return (
         not connection.stream.closed()
         and not connection.stream.writing()
         and not parser.is_head
-        and not parser.ends_with_connection
-        and parser.keep_alive
-        and not _says_close(parser)
+        and parser.is_at_boundary
+        and not response.ends_with_connection
+        and response.keep_alive
+        and not _says_close(response)
     )
 
 
-def _says_close(parser: MessageParser) -> bool:
-    return "close" in (parser.get("connection") or "").lower()
+def _says_close(response: response_parser.ParsedResponse) -> bool:
+    return "close" in (response.get("connection") or "").lower()
 
 
-def _kept_s(parser: MessageParser) -> float:
-    match = _KEEP_ALIVE_TIMEOUT.search(parser.get("keep-alive") or "")
+def _kept_s(response: response_parser.ParsedResponse) -> float:
+    match = _KEEP_ALIVE_TIMEOUT.search(response.get("keep-alive") or "")
     if match is None:
         return const.KEPT_DEFAULT_S
     return max(0.0, int(match.group(1)) - const.KEPT_MARGIN_S)
--- a/standins/soak/callers.py
+++ b/standins/soak/callers.py
@@ -6,12 +6,12 @@
 import random
 from typing import NamedTuple
 
-import httptools
 import orjson
 
-from samphirelug.components.http import io_pool
+from samphirelug.components.http import response_parser
 
 REQUEST_ID = "x-samphirelug-request-id"
+SEAL = "x-samphirelug-response-seal"
 DEADLINE_MS = 2000
 ANSWER_TIMEOUT_S = 3.0
 PROMISES = (408, 421, 429, 503)
@@ -93,7 +93,7 @@
         idempotent = self.rng.random() < 0.5
         method, path = ("GET", "status") if idempotent else ("POST", "filing")
         object_key = self.rng.randrange(9)
-        parser = io_pool.MessageParser(is_head=False)
+        parser = response_parser.ResponseParser(is_head=False)
         try:
             writer.write(
                 f"{method} /{path}/1 HTTP/1.1\r\nHost: portal.example\r\n"
@@ -102,25 +102,26 @@
                 f"X-Samphirelug-Deadline-Ms: {DEADLINE_MS}\r\n\r\n".encode()
             )
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                while not parser.complete:
+                while not parser.whole and not parser.error:
                     data = await reader.read(65536)
                     if not data:
                         break
                     parser.feed(data)
-        except (OSError, TimeoutError, httptools.HttpParserError):
+        except (OSError, TimeoutError):
             writer.close()
             self.connection = None
-        if not parser.complete or not parser.keep_alive:
+        response = parser.whole[0] if parser.whole else None
+        if response is None or not response.keep_alive:
             writer.close()
             self.connection = None
         self.outcomes.append(
             Outcome(
                 request_id=request_id,
                 idempotent=idempotent,
-                status=parser.status if parser.complete else None,
-                sealed=parser.get("x-samphirelug-response-seal") is not None,
-                body=b"".join(parser.chunks),
-                answered_id=parser.get(REQUEST_ID),
+                status=response.status if response else None,
+                sealed=bool(response and response.get(SEAL)),
+                body=response.body if response else b"",
+                answered_id=response.get(REQUEST_ID) if response else None,
                 sent_at_s=now,
                 host=host,
             )
--- a/tests/components/http/test_io_pool.py
+++ b/tests/components/http/test_io_pool.py
@@ -168,6 +168,47 @@
     run(serve, use)
 
 
+def test_answer_behind_a_stray_one_in_the_same_read_is_kept() -> None:
+    """Guard against a later stray answer taking the place of a lost one."""
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter, _: int
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer("r0", b"stray") + answer("r1", b"own body"))
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.write(answer("r1", b"stray"))
+        await writer.drain()
+        await asyncio.sleep(0.1)
+
+    async def use(
+        sender: io_pool.PooledSender,
+        attempt: Callable[..., model.Attempt],
+        server: Server,
+    ) -> None:
+        del server
+        result = await sender.send(attempt("r1"))
+        assert result.unwrap().answer.body == b"own body"
+
+    run(serve, use)
+
+
+def test_repeat_of_a_request_takes_another_connection() -> None:
+    """Guard against a stray answer to the first send of the request."""
+
+    async def use(
+        sender: io_pool.PooledSender,
+        attempt: Callable[..., model.Attempt],
+        server: Server,
+    ) -> None:
+        await sender.send(attempt("r1"))
+        await sender.send(attempt("r1"))
+        assert server.connections == 2
+
+    run(echo(), use)
+
+
 def scripted(data: bytes, *, close: bool = True) -> Serve:
     """Return a script that sends bytes after the first request."""
 
