Start no request that arrives as its connection closes

A second path was found by reading: a request that had been read when idle connections were closed was started after the close. Ruled out: the stop of the listener, which comes 2.1 s after the signal. Change: a connection that is about to close starts nothing more, so the caller sends the request again. The sending side ends first and the rest is read for up to a second, since unread bytes would reset the connection and could cost the caller its last response. A failure in the writing task closes the connection and is logged. Before and after: both new tests fail on the former code and pass.

--- a/src/samphirelug/components/http/const.py
+++ b/src/samphirelug/components/http/const.py
@@ -16,6 +16,8 @@
 KEPT_ONCE_ONLY_S = 1.0
 # Idle connections kept to one server.
 MAX_KEPT = 8
+# Time in which a caller takes the last response and closes.
+LINGER_S = 1.0
 SWEEP_INTERVAL_S = 0.5
 # Requests of one connection that are handled at the same time.
 MAX_PIPELINED = 16
--- a/src/samphirelug/components/http/io_pipeline.py
+++ b/src/samphirelug/components/http/io_pipeline.py
@@ -4,8 +4,10 @@
 import asyncio
 import collections
 from collections.abc import Callable
+import contextlib
 import http.client
 import logging
+import socket
 from typing import NamedTuple
 
 import httptools
@@ -193,20 +195,28 @@
         writer = asyncio.ensure_future(self._write_responses())
         try:
             await self._read_requests()
-            await writer
         except (OSError, iostream.StreamClosedError):
             _LOGGER.debug("caller closed its connection")
         finally:
             writer.cancel()
             self._abandon()
-            self.stream.close()
+            self.close()
+
+    def close(self) -> None:
+        """Close at once; what was read and not started is not started."""
+        self.closing = True
+        self.stream.close()
 
     async def _read_requests(self) -> None:
-        while not self.closing:
+        while True:
             await self.room.wait()
             data = await self.stream.read_bytes(
                 const.READ_CHUNK_BYTES, partial=True
             )
+            if self.closing:
+                # Bytes that stay unread would reset the connection, and the
+                # caller could lose the last response.
+                continue
             try:
                 self.parser.feed(data)
             except RequestError as error:
@@ -226,6 +236,8 @@
                     )
 
     def _add(self, message: CallerMessage, keep_alive: bool) -> None:
+        if self.closing:
+            return
         pending = PendingRequest(message=message, keep_alive=keep_alive)
         self.pending.append(pending)
         self._start_ready()
@@ -249,12 +261,23 @@
                 break
 
     async def _write_responses(self) -> None:
+        try:
+            await self._write_in_order()
+        except iostream.StreamClosedError:
+            _LOGGER.debug("caller left before its response was written")
+        except Exception:
+            _LOGGER.exception("connection failed in this process")
+            self.close()
+
+    async def _write_in_order(self) -> None:
         while True:
             while not self.pending:
                 if self.last_status is not None:
+                    self.closing = True
                     await self._write(
                         _error_response(self.last_status), close=True
                     )
+                    self._linger()
                     return
                 self.wake.clear()
                 await self.wake.wait()
@@ -269,8 +292,14 @@
                 self.listener.draining and not self.pending
             )
             self.idle_since_s = self.listener.timer.monotonic()
+            if close:
+                # Requests that arrive from now on are not started: the
+                # caller sends them again.
+                self.closing = True
+                self._abandon()
             await self._write(response, close=close)
             if close:
+                self._linger()
                 return
 
     async def _write(self, response: model.Response, *, close: bool) -> None:
@@ -281,9 +310,16 @@
             lines.append("Connection: close")
         head = "\r\n".join(lines) + "\r\n\r\n"
         await self.stream.write(head.encode("latin-1") + response.body)
-        if close:
-            self.closing = True
-            self.stream.close()
+
+    def _linger(self) -> None:
+        """End the sending side; close when the caller does, or soon."""
+        with contextlib.suppress(OSError):
+            self.stream.socket.shutdown(socket.SHUT_WR)
+        timer = self.listener.timer
+        timer.call_at(
+            when_s=timer.monotonic() + const.LINGER_S,
+            callback=self.close,
+        )
 
     def _abandon(self) -> None:
         """Cancel what no caller waits for any more."""
@@ -319,7 +355,7 @@
             and now - self.idle_since_s
             > limits.idle_timeout_s + const.IDLE_MARGIN_S
         ):
-            self.stream.close()
+            self.close()
 
 
 class CallerListener(tcpserver.TCPServer):
@@ -374,7 +410,7 @@
         """Close the connections that have no request."""
         for connection in list(self.connections):
             if connection.is_idle():
-                connection.stream.close()
+                connection.close()
 
     @property
     def busy(self) -> bool:
--- a/tests/components/http/test_io_pipeline.py
+++ b/tests/components/http/test_io_pipeline.py
@@ -48,9 +48,11 @@
 ]
 
 
-def run(script: Script) -> ScriptedHandler:
+def run(
+    script: Script, handler: ScriptedHandler | None = None
+) -> ScriptedHandler:
     """Run a script against a listener on loopback."""
-    handler = ScriptedHandler()
+    handler = handler or ScriptedHandler()
 
     async def main() -> None:
         listener = io_pipeline.CallerListener(
@@ -267,3 +269,67 @@
         assert handler.bodies == [b"ok"]
 
     run(script)
+
+
+def test_request_behind_a_closing_response_is_not_started() -> None:
+    """Guard against running what the caller is told to send again.
+
+    The response is larger than what the connection buffers, so the second
+    request arrives while the closing response is being written.
+    """
+    large = b"x" * (16 * 1024 * 1024)
+
+    class LargeHandler(ScriptedHandler):
+        """Answer with a large body."""
+
+        async def handle(
+            self, message: io_pipeline.CallerMessage
+        ) -> model.Response:
+            """Answer at once."""
+            self.started.append(message.target)
+            return model.Response(200, "OK", (), large)
+
+    async def script(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        listener: io_pipeline.CallerListener,
+        handler: ScriptedHandler,
+    ) -> None:
+        listener.draining = True
+        writer.write(b"POST /1 HTTP/1.1\r\nHost: x\r\n\r\n")
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert b"Connection: close" in head
+        writer.write(b"POST /2 HTTP/1.1\r\nHost: x\r\n\r\n")
+        await asyncio.sleep(0.05)
+        assert await reader.readexactly(len(large)) == large
+        assert await reader.read() == b""
+        assert handler.started == ["/1"]
+
+    run(script, LargeHandler())
+
+
+def test_request_read_as_the_host_closes_is_not_started() -> None:
+    """Guard against a request that runs after its connection was closed."""
+
+    async def script(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        listener: io_pipeline.CallerListener,
+        handler: ScriptedHandler,
+    ) -> None:
+        writer.write(b"GET /0 HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert await read_body(reader) == b"/0"
+        (connection,) = listener.connections
+        feed = connection.parser.feed
+
+        def close_and_feed(data: bytes) -> None:
+            listener.close_idle()
+            feed(data)
+
+        connection.parser.feed = close_and_feed  # type: ignore[method-assign]
+        await asyncio.sleep(0.05)
+        writer.write(b"POST /0 HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert await reader.read() == b""
+        assert handler.started == ["/0"]
+
+    run(script)
