Remember other hosts' load for as long as their requests run

Cause: ten hosts each send a server a third of a request a second, and learn of the others' requests only from its answers. A report lost half its weight in 0.25 s, while requests run for 0.2 to 1.6 s, so hosts queued requests at servers that were full. Refused callers all got the same 0.25 s and came back together.

--- a/src/samphirelug/components/forwarding/forwarder.py
+++ b/src/samphirelug/components/forwarding/forwarder.py
@@ -212,7 +212,9 @@
             self.placer.ended(attempt.server)
         now = self.timer.monotonic()
         entry.ended_at_s = now
-        self.placer.observe(attempt.server, outcome, now=now)
+        self.placer.observe(
+            attempt.server, outcome, now=now, took_s=now - sent_at_s
+        )
         if isinstance(outcome, Success):
             entry.outcome = str(outcome.unwrap().answer.status)
         else:
--- a/src/samphirelug/components/placement/load.py
+++ b/src/samphirelug/components/placement/load.py
@@ -24,6 +24,8 @@
         self.in_flight = 0
         self.others = 0.0
         self.reported_at_s: float | None = None
+        # Mean time that requests take here, waiting included.
+        self.service_time_s = const.INITIAL_SERVICE_TIME_S
         self.failures_in_row = 0
         self.pause_s = 0.0
         self.suspended_until_s = 0.0
@@ -33,7 +35,11 @@
         if self.reported_at_s is None:
             return self.in_flight
         age_s = max(0.0, now - self.reported_at_s)
-        decay: float = 0.5 ** (age_s / const.REPORT_HALF_LIFE_S)
+        half_life_s = min(
+            const.MAX_HALF_LIFE_S,
+            const.REPORT_HALF_LIFE * self.service_time_s,
+        )
+        decay: float = 0.5 ** (age_s / half_life_s)
         return self.in_flight + self.others * decay
 
     def report_age_s(self, now: float) -> float | None:
@@ -48,8 +54,11 @@
         self.others = float(max(0, total - self.in_flight))
         self.reported_at_s = now
 
-    def observe_success(self) -> None:
-        """Forget earlier failures."""
+    def observe_success(self, *, took_s: float) -> None:
+        """Learn the time that a request takes, and forget failures."""
+        self.service_time_s += const.SERVER_TIME_GAIN * (
+            took_s - self.service_time_s
+        )
         self.failures_in_row = 0
         self.pause_s = 0.0
 
--- a/src/samphirelug/components/placement/placer.py
+++ b/src/samphirelug/components/placement/placer.py
@@ -21,6 +21,7 @@
 from samphirelug.components.placement import const
 from samphirelug.components.placement import load as placement_load
 from samphirelug.components.placement import ranking
+from samphirelug.components.placement import retry_after
 from samphirelug.components.routing import model as routing_model
 from samphirelug import result_codes
 
@@ -60,6 +61,7 @@
         self.host_count = host_count
         self.ranking = ranking.ServerRanking(registry=registry)
         self.loads = placement_load.LoadBook()
+        self.returns = retry_after.ReturnSchedule()
         self.cold_gate = cold.ColdGate(host=host)
         registry.on_removed.append(self._forget)
 
@@ -101,7 +103,33 @@
             if candidate.estimate < ratio * server.slots:
                 return Success(candidate)
             full.append(candidate)
-        return Failure(_refusal(order=order, full=full))
+        if full:
+            return Failure(self._refuse_full(route, service, full, now))
+        return Failure(_refuse_unusable(order))
+
+    def _refuse_full(
+        self,
+        route: routing_model.Route,
+        service: routing_model.Service,
+        full: Collection[Candidate],
+        now: float,
+    ) -> result_codes.Refusal:
+        loads = ", ".join(
+            f"{one.server.instance_id} has {one.estimate:.1f} requests for"
+            f" {one.server.slots} slots"
+            for one in full
+        )
+        slots = sum(one.slots for one in self.registry.usable(service.name))
+        return result_codes.Refusal(
+            result_codes.ResultCode.OVERLOADED,
+            f"no room: {loads}",
+            self.returns.next_return_s(
+                service.name,
+                priority=route.priority,
+                slots=slots / max(1, self.host_count()),
+                now=now,
+            ),
+        )
 
     def sent(
         self,
@@ -132,6 +160,7 @@
         outcome: forwarding_model.AttemptResult,
         *,
         now: float,
+        took_s: float,
     ) -> None:
         """Learn load, health and coldness from an attempt's outcome."""
         load = self.loads.loads.get(server.incarnation)
@@ -142,7 +171,8 @@
             if answered.report is not None:
                 load.observe_report(answered.report, now=now)
             if answered.answer.status < 500:
-                load.observe_success()
+                load.observe_success(took_s=took_s)
+                self.returns.observe(server.service, took_s=took_s)
                 return
             self._observe_failure(server, load, now, "server error")
             return
@@ -178,28 +208,15 @@
         self.cold_gate.forget(server.incarnation)
 
 
-def _refusal(
-    *, order: Collection[object], full: Collection[Candidate]
-) -> result_codes.Refusal:
+def _refuse_unusable(order: Collection[object]) -> result_codes.Refusal:
     if not order:
         return result_codes.Refusal(
             result_codes.ResultCode.NO_BACKEND_SERVER,
             "no usable server in the allowed regions",
             const.SUSPEND_FIRST_S,
         )
-    if not full:
-        return result_codes.Refusal(
-            result_codes.ResultCode.BACKEND_UNREACHABLE,
-            f"all {len(order)} servers are paused, cold or were tried",
-            const.SUSPEND_FIRST_S,
-        )
-    loads = ", ".join(
-        f"{one.server.instance_id} has {one.estimate:.1f} requests for"
-        f" {one.server.slots} slots"
-        for one in full
-    )
     return result_codes.Refusal(
-        result_codes.ResultCode.OVERLOADED,
-        f"no room: {loads}",
-        const.REFUSED_RETRY_AFTER_S,
+        result_codes.ResultCode.BACKEND_UNREACHABLE,
+        f"all {len(order)} servers are paused, cold or were tried",
+        const.SUSPEND_FIRST_S,
     )
--- a/tests/components/placement/test_placer.py
+++ b/tests/components/placement/test_placer.py
@@ -97,7 +97,10 @@
     placing.sent(chosen, service=SERVICE, now=0.0)
     placing.ended(chosen)
     placing.observe(
-        chosen, failed(backend_model.FailureKind.NOT_SENT), now=0.0
+        chosen,
+        failed(backend_model.FailureKind.NOT_SENT),
+        now=0.0,
+        took_s=0.1,
     )
     assert choose(placing) != first
     assert choose(placing, now=60.0) == first
@@ -111,7 +114,10 @@
         placing.sent(server, service=SERVICE, now=0.0)
         placing.ended(server)
         placing.observe(
-            server, failed(backend_model.FailureKind.REFUSED), now=0.0
+            server,
+            failed(backend_model.FailureKind.REFUSED),
+            now=0.0,
+            took_s=0.1,
         )
     assert choose(placing) == "s0"
 
@@ -128,6 +134,7 @@
             server,
             Success(forwarding_model.AttemptAnswer(answer, None, None)),
             now=0.0,
+            took_s=0.1,
         )
     assert choose(placing) is result_codes.ResultCode.BACKEND_UNREACHABLE
 
