Name the strongest hosts of a large zone in look-ups

Change: a look-up names the strongest third of a zone's hosts, four at least; capacity follows from the settings and stands in the host's stored entry. The next strongest take over when named ones leave.

--- a/src/samphirelug/components/fleet/model.py
+++ b/src/samphirelug/components/fleet/model.py
@@ -38,3 +38,5 @@
     caller_address: str
     # host:port for datagrams of other entry hosts.
     peer_address: str
+    # Requests a second that the host can carry; 0 if it does not say.
+    capacity_per_s: float = 0.0
--- a/src/samphirelug/forwarding_host.py
+++ b/src/samphirelug/forwarding_host.py
@@ -67,6 +67,10 @@
                 zone=settings.zone,
                 caller_address=settings.callers.text,
                 peer_address=settings.peers.text,
+                capacity_per_s=directory_answer.capacity_per_s(
+                    cores=settings.resources.cores,
+                    link_mbps=settings.resources.link_mbps,
+                ),
             )
         )
         self.exchange = io_datagrams.NoticeExchange(
--- a/src/samphirelug/forwarding_settings.py
+++ b/src/samphirelug/forwarding_settings.py
@@ -26,6 +26,14 @@
     window_s: float
 
 
+class HostResources(NamedTuple):
+    """Hold what the host may use."""
+
+    # Of the speed that the host's times are measured at.
+    cores: float
+    link_mbps: float
+
+
 class ForwardingSettings(NamedTuple):
     """Hold what a forwarding entry host needs to know at start."""
 
@@ -44,3 +52,4 @@
     stop_grace_s: float
     # Longest time that callers keep a look-up answer.
     lookup_keep_s: float
+    resources: HostResources
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -61,6 +61,11 @@
                 "BudgetWindow": "10s",
                 "ttl_max": "5s",
             },
+            "Limits": {
+                "CpuShare": 1.0,
+                "CpuCores": 1,
+                "BandwidthMbps": 1000.0,
+            },
             "Platform": {"Address": store_address},
         }
 
--- a/tests/components/directory/test_answer.py
+++ b/tests/components/directory/test_answer.py
@@ -5,10 +5,17 @@
 from samphirelug import core
 
 
-def host(name: str, zone: str) -> model.HostInstance:
+def host(
+    name: str, zone: str, capacity_per_s: float = 0.0
+) -> model.HostInstance:
     """Return an entry host; the zone's first letter is its region."""
     return model.HostInstance(
-        name, "i", core.AvailabilityZone(zone, zone[0]), name, name
+        name,
+        "i",
+        core.AvailabilityZone(zone, zone[0]),
+        name,
+        name,
+        capacity_per_s,
     )
 
 
@@ -34,3 +41,27 @@
     """Guard against bodies sent to regions that are not allowed."""
     assert answer.choose(HOSTS, region="b", zone="b1") == ["h4"]
     assert len(answer.choose(HOSTS, region="c", zone="c1")) == 4
+
+
+def test_strongest_hosts_carry_a_large_zone() -> None:
+    """Guard against traffic for hosts with little processor or link."""
+    zone = [host(f"h{n:02}", "a1", float(n)) for n in range(15)]
+    named = answer.choose(zone, region="a", zone="a1")
+    assert named == ["h14", "h13", "h12", "h11", "h10"]
+
+
+def test_next_strongest_host_takes_over_from_one_that_left() -> None:
+    """Guard against a zone that loses capacity while hosts are unused."""
+    zone = [host(f"h{n:02}", "a1", float(n)) for n in range(14)]
+    named = answer.choose(zone[:-1], region="a", zone="a1")
+    assert len(named) == 5
+    assert "h08" in named
+
+
+def test_capacity_is_what_the_scarcer_resource_allows() -> None:
+    """Guard against a host with a fast processor behind a slow link."""
+    slow_link = answer.capacity_per_s(cores=2.0, link_mbps=5.0)
+    slow_processor = answer.capacity_per_s(cores=0.1, link_mbps=1000.0)
+    both_fast = answer.capacity_per_s(cores=2.0, link_mbps=1000.0)
+    assert slow_link < both_fast
+    assert slow_processor < both_fast
