Gather changes of servers for a share of the time to act on them

Ruled out: watching through a few hosts that relay to the others; a relay that fails has to be noticed within the time to act on a leaving server. Change: changes of servers are gathered for 0.35 of that time, which the settings name; configurations keep 0.4 s.

--- a/src/samphirelug/components/store/follower.py
+++ b/src/samphirelug/components/store/follower.py
@@ -64,6 +64,7 @@
         availability: store_availability.StoreAvailability,
         timer: timer_helper.TimerService,
         rng: random.Random,
+        pause_s: float = PAUSE_AFTER_CHANGE_S,
     ) -> None:
         self.kind = kind
         self.feed = feed
@@ -71,6 +72,7 @@
         self.availability = availability
         self.timer = timer
         self.rng = rng
+        self.pause_s = pause_s
         self.revision = 0
         self.backoff_s = BACKOFF_FIRST_S
 
@@ -131,7 +133,7 @@
             else:
                 self.consumer.change(event)
         if changes.events:
-            await self.timer.sleep(PAUSE_AFTER_CHANGE_S)
+            await self.timer.sleep(self.pause_s)
         return True
 
     async def _watch_through_outages(self) -> WatchResult | None:
--- a/src/samphirelug/forwarding_host.py
+++ b/src/samphirelug/forwarding_host.py
@@ -39,6 +39,9 @@
 # Left over at the end of the grace for closing connections.
 STOP_MARGIN_S = 0.4
 STOP_POLL_S = 0.05
+# Part of the time to act on a leaving server for which changes are gathered;
+# the rest covers a slow store and a connection that has to be opened again.
+SERVER_PAUSE_SHARE = 0.35
 BELIEF_INTERVAL_S = 1.0
 
 
@@ -204,6 +207,12 @@
                 registry=self.registry
             ),
         }
+        # Each kind's changes have to be in force within a time of its own.
+        pauses_s = {
+            store_feed.ObjectKind.BACKEND_SERVERS: (
+                SERVER_PAUSE_SHARE * self.settings.drain_s
+            ),
+        }
         availability = store_availability.StoreAvailability(timer=self.timer)
         return [
             follower.ObjectFollower(
@@ -213,6 +222,7 @@
                 availability=availability,
                 timer=self.timer,
                 rng=random.Random(),
+                pause_s=pauses_s.get(kind, follower.PAUSE_AFTER_CHANGE_S),
             )
             for kind, consumer in kinds.items()
         ]
--- a/src/samphirelug/forwarding_settings.py
+++ b/src/samphirelug/forwarding_settings.py
@@ -52,4 +52,6 @@
     stop_grace_s: float
     # Longest time that callers keep a look-up answer.
     lookup_keep_s: float
+    # Time after which a server that leaves gets no new request.
+    drain_s: float
     resources: HostResources
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -55,6 +55,7 @@
             },
             "PortRange": [17660, 17675],
             "Bounds": {
+                "Drain": "2500ms",
                 "Grace": "6s",
                 "RetryBudgetRatio": 0.2,
                 "RetryBudgetSlack": 60,
--- a/tests/components/store/test_follower.py
+++ b/tests/components/store/test_follower.py
@@ -291,3 +291,43 @@
 
     long, short = follower.WATCH_TIMEOUT_S, follower.PROBE_WATCH_S
     assert asyncio.run(main()) == [long, short, long, long]
+
+
+def test_changes_are_gathered_for_the_time_that_the_kind_allows() -> None:
+    """Guard against a call of each host for each of many servers."""
+
+    class SleepLog(InstantTimer):
+        """Keep the times slept."""
+
+        def __init__(self) -> None:
+            super().__init__()
+            self.slept_s: list[float] = []
+
+        async def sleep(self, delay_s: float) -> None:
+            """Keep the time and return at once."""
+            self.slept_s.append(delay_s)
+            await super().sleep(delay_s)
+
+    async def main() -> list[float]:
+        scripted = ScriptedFeed(
+            listing(5), changes(6, "s1", "s2"), changes(7), changes(8, "s3")
+        )
+        timer = SleepLog()
+        scripted.timer = timer
+        following = follower.ObjectFollower(
+            kind=feed.ObjectKind.BACKEND_SERVERS,
+            feed=scripted,
+            consumer=Consumer(),
+            availability=store_availability.StoreAvailability(timer=timer),
+            timer=timer,
+            rng=random.Random(1),
+            pause_s=0.875,
+        )
+        task = asyncio.ensure_future(following.run())
+        await asyncio.wait_for(scripted.done.wait(), 5)
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+        return timer.slept_s
+
+    assert asyncio.run(main()) == [0.875, 0.875]
--- a/tests/platform_adapter/test_settings.py
+++ b/tests/platform_adapter/test_settings.py
@@ -25,6 +25,7 @@
     "PortRange": [7660, 7675],
     "Limits": {"CpuShare": 0.5, "CpuCores": 2, "BandwidthMbps": 5.0},
     "Bounds": {
+        "Drain": "2500ms",
         "Grace": "6s",
         "RetryBudgetRatio": 0.2,
         "RetryBudgetSlack": 60,
@@ -41,6 +42,7 @@
     path = tmp_path / "node.json"
     path.write_bytes(orjson.dumps(SETTINGS))
     read = settings.read(path).unwrap()
+    assert read.drain_s == 2.5
     assert read.resources == (1.0, 5.0)
     assert read.store_url == "http://127.0.0.1:8142"
 
