--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -109,6 +109,33 @@
     setattr(handler, field, 0.0)
 
 
+async def send_stray_answers(world: soak_world.World, hold_s: float) -> None:
+    """Let a server send answers to earlier requests before the own one."""
+    handler = world.rng.choice(list(world.servers.values())).handler
+    handler.stray = world.rng.uniform(0.1, 0.6)
+    await asyncio.sleep(hold_s)
+    handler.stray = 0.0
+
+
+async def corrupt_store(world: soak_world.World, hold_s: float) -> None:
+    """Store entries that cannot be read, and an old configuration."""
+    garbage: list[object] = [
+        "cut sho",
+        {"Address": 7, "Info": None},
+        {"Address": "127.0.0.1:1", "Info": {"Service": "desk"}},
+        [],
+    ]
+    for number, spec in enumerate(garbage):
+        world.book.put("servers", f"garbage-{number}", spec)
+    world.book.put(
+        "config", "main", world.rng.choice([{"Version": "1"}, "cut sho"])
+    )
+    await asyncio.sleep(hold_s)
+    world.change_configuration()
+    for number in range(len(garbage)):
+        world.book.delete("servers", f"garbage-{number}")
+
+
 async def configure(world: soak_world.World, hold_s: float) -> None:
     """Change the configuration."""
     del hold_s
@@ -128,6 +155,8 @@
     crash_server,
     drain_server,
     fail_partly,
+    send_stray_answers,
+    corrupt_store,
     configure,
 )
 # What an operator does; requests must not be cut off by these alone.
--- a/standins/soak/servers.py
+++ b/standins/soak/servers.py
@@ -39,6 +39,10 @@
         # Part of the requests that are refused, or run without an answer.
         self.refuse = 0.0
         self.lose = 0.0
+        # Part of the answers that follow a second answer to an earlier
+        # request.
+        self.stray = 0.0
+        self.answered_id = ""
         self.left_at_s: float | None = None
 
     def may_overlap(self, message: io_pipeline.CallerMessage) -> bool:
@@ -83,7 +87,17 @@
         headers.append(("X-Samphirelug-Response-Seal", "seal"))
         headers.append(("Keep-Alive", "timeout=10"))
         body = f"answer to {request_id}".encode()
-        return http_model.Response(200, "OK", tuple(headers), body)
+        reason = "OK"
+        if self.answered_id and self.rng.random() < self.stray:
+            # The listener writes one response; the stray one goes in front
+            # of it as a part of the reason phrase.
+            reason = (
+                f"OK\r\n{REQUEST_ID}: {self.answered_id}\r\n"
+                "X-Samphirelug-Response-Seal: seal\r\n"
+                "Content-Length: 5\r\n\r\nstrayHTTP/1.1 200 OK"
+            )
+        self.answered_id = request_id
+        return http_model.Response(200, reason, tuple(headers), body)
 
 
 class StandinServer:
