Explain a request from the logs of all entry hosts

Cause: an engineer had to search the logs by hand and to know which events of which host could have decided a request.

--- a/src/samphirelug/__main__.py
+++ b/src/samphirelug/__main__.py
@@ -6,6 +6,7 @@
 
 from samphirelug.components.commands import catalogue
 from samphirelug.components.commands import entry_host
+from samphirelug.components.commands import explain
 from samphirelug.components.commands import lookup
 from samphirelug.components.commands import settings
 from samphirelug.components.commands import status
@@ -19,6 +20,7 @@
 app.add_typer(catalogue.app, name="catalogue")
 app.command(cls=settings.Command)(lookup.lookup)
 app.command(cls=settings.Command)(status.status)
+app.command(cls=settings.Command)(explain.explain)
 app.add_typer(entry_host.app, name="entry-host")
 
 
--- /dev/null
+++ b/tests/components/commands/test_explain.py
@@ -0,0 +1,116 @@
+"""Test the story of a request from the logs of entry hosts."""
+
+import pathlib
+
+import orjson
+from typer import testing
+
+from samphirelug import __main__
+from samphirelug.components.commands import explain
+
+ATTEMPT = {
+    "server": "i-1",
+    "zone": "a1",
+    "choice": 0,
+    "load": 1.5,
+    "slots": 3,
+    "load_age_ms": 40,
+    "took_ms": 900,
+    "outcome": "timeout",
+    "detail": "no whole answer in time",
+}
+
+
+def line(second: int, message: str, host: str = "h1", **fields: object) -> str:
+    """Return a log line as a collector stores it."""
+    return (
+        f"  {second}.0 {host} "
+        + orjson.dumps(
+            {
+                "time": f"2026-12-04 10:00:{second:02},000",
+                "level": "INFO",
+                "name": "samphirelug",
+                "message": message,
+                "entry_host": host,
+                **fields,
+            }
+        ).decode()
+    )
+
+
+LINES = [
+    line(1, "store lost", detail="status 503"),
+    line(2, "backend server paused", server="i-1", reason="not_sent"),
+    line(2, "backend server paused", server="i-2", reason="not_sent"),
+    line(3, "store lost", host="h2", detail="status 503"),
+    "a line that is no JSON {",
+    line(
+        5,
+        "request ended",
+        request_id="r1",
+        route="filing",
+        object="17",
+        service="desk",
+        version=6,
+        version_age_s=2.5,
+        took_ms=900,
+        attempts=[ATTEMPT],
+        status=504,
+        code="BACKEND_TIMEOUT",
+        detail="no whole answer in time",
+    ),
+    line(
+        30,
+        "request ended",
+        request_id="r2",
+        took_ms=0,
+        attempts=[],
+        status=503,
+        code="OVERLOADED",
+        detail="no room: i-2 has 4.8 requests for 3 slots",
+        retry_after_s=0.2,
+    ),
+]
+
+
+def tell(request_id: str, *, window_s: float = 10.0) -> str:
+    """Return the story as one text."""
+    log = list(explain.parse(LINES))
+    return "\n".join(explain.tell(log, request_id, window_s=window_s))
+
+
+def test_attempts_and_what_the_host_believed_are_told() -> None:
+    """Guard against a failed request whose cause cannot be found."""
+    story = tell("r1")
+    assert "504 BACKEND_TIMEOUT" in story
+    assert "1.5 requests for 3 slots (40 ms old): timeout" in story
+    assert "configuration 6 in force for 2.5 s" in story
+
+
+def test_only_events_of_the_same_host_and_servers_are_told() -> None:
+    """Guard against causes that the host did not know of."""
+    story = tell("r1")
+    assert "4.000 s before: store lost" in story
+    assert "server=i-1" in story
+    assert "server=i-2" not in story
+
+
+def test_servers_that_were_only_considered_are_followed() -> None:
+    """Guard against a refusal whose full servers are not explained."""
+    assert "server=i-2" in tell("r2", window_s=60.0)
+    assert "server=i-2" not in tell("r2")
+    assert "sent to no server" in tell("r2")
+
+
+def test_unknown_request_has_its_own_exit_code(tmp_path: pathlib.Path) -> None:
+    """Guard against silence about a request that no host read."""
+    path = tmp_path / "day.log"
+    path.write_text("\n".join(LINES))
+    runner = testing.CliRunner()
+    known = runner.invoke(__main__.app, ["explain", "r1", "--log", str(path)])
+    assert known.exit_code == 0
+    assert "BACKEND_TIMEOUT" in known.output
+    unknown = runner.invoke(
+        __main__.app, ["explain", "r9", "--log", str(path)]
+    )
+    assert unknown.exit_code == 1
