Move the peers' handshake and connection out of the mesh

Change: io_handshake.py proves and checks who a peer is, io_connection.py holds a joined connection and what waits on it; the code is moved as it was. Conclusion: io_mesh.py still dials, accepts, relays and dispatches.

--- a/src/samphirelug/components/peers/io_mesh.py
+++ b/src/samphirelug/components/peers/io_mesh.py
@@ -3,14 +3,11 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
-from collections.abc import Iterator
-import contextlib
 import itertools
 import logging
 import random
 import socket
 from typing import Any
-from typing import TypeVar
 from urllib import parse
 
 from returns.result import Failure
@@ -25,11 +22,12 @@
 from samphirelug.components.peers import auth
 from samphirelug.components.peers import codec
 from samphirelug.components.peers import const
+from samphirelug.components.peers import io_connection
+from samphirelug.components.peers import io_handshake
 from samphirelug.components.peers import membership as peer_membership
 from samphirelug.components.peers import mesh
 from samphirelug.components.peers import model
 from samphirelug.components.peers import relay as peer_relay
-from samphirelug.components.peers import send_queue
 from samphirelug.components.peers import topology
 from samphirelug import const as shared_const
 from samphirelug import core
@@ -43,76 +41,9 @@
 _DUPLICATE = "duplicate connection"
 # Tells a process that its host name has been taken over by a later start.
 _SUPERSEDED = "incarnation superseded"
-_T = TypeVar("_T")
 _TRANSPORT_ERRORS = (OSError, exceptions.WebSocketException, TimeoutError)
 
 
-class _TurnedAwayError(Exception):
-    """Carry why a handshake ended."""
-
-    def __init__(self, refusal: result_codes.Refusal) -> None:
-        super().__init__(refusal.detail)
-        self.refusal = refusal
-
-
-class _PeerConnection:
-    """Hold one authenticated connection and its queue."""
-
-    def __init__(
-        self,
-        *,
-        websocket: ws_connection.Connection,
-        host: core.EntryHost,
-        dialled: bool,
-        now: float,
-    ) -> None:
-        self.websocket = websocket
-        self.host = host
-        self.dialled = dialled
-        self.queue = send_queue.SendQueue()
-        self.wake = asyncio.Event()
-        self.encoder = codec.SparseEncoder()
-        self.decoder = codec.SparseDecoder()
-        self.received_at_s = now
-
-    def put(self, frame: bytes) -> None:
-        """Queue a frame without waiting."""
-        self.queue.put(frame)
-        self.wake.set()
-
-    def put_heartbeat(self, heartbeat: model.Heartbeat) -> None:
-        """Queue a heartbeat without waiting."""
-        self.queue.put_heartbeat(heartbeat)
-        self.wake.set()
-
-    async def write(self) -> None:
-        """Send what is queued until the connection closes."""
-        while True:
-            item = self.queue.take()
-            if item is None:
-                self.wake.clear()
-                await self.wake.wait()
-                continue
-            if isinstance(item, model.Heartbeat):
-                item = self.encoder.encode(item)
-            await self.websocket.send(item)
-
-
-class _PendingRequest:
-    """Hold the future of a request and the peer that was asked."""
-
-    def __init__(
-        self, *, host: str, future: "asyncio.Future[model.Message | None]"
-    ) -> None:
-        self.host = host
-        self.future = future
-
-    def finish(self, message: model.Message | None) -> None:
-        """Set the reply, or None where none will come."""
-        if not self.future.done():
-            self.future.set_result(message)
-
-
 class WebsocketMesh(mesh.PeerMesh):
     """Keep one connection to each wanted peer and pass messages."""
 
@@ -136,12 +67,16 @@
         self.rng = rng if rng is not None else random.Random()
         self.metrics = metrics
         self.sock = sock
-        self.auth = auth.JoinAuthenticator(
-            secret=secret, cluster=cluster, host=host, timer=timer
+        self.handshake = io_handshake.Handshake(
+            host=host,
+            timer=timer,
+            authenticator=auth.JoinAuthenticator(
+                secret=secret, cluster=cluster, host=host, timer=timer
+            ),
         )
         self.membership = peer_membership.Membership(own=host)
         self.seeds = {url: "" for url in seeds if url != host.peer_url}
-        self.connections: dict[str, _PeerConnection] = {}
+        self.connections: dict[str, io_connection.PeerConnection] = {}
         self.on_members: list[Callable[[], None]] = []
         # Called when a peer has seen a later start under this host's name.
         self.on_superseded: list[Callable[[], None]] = []
@@ -155,7 +90,7 @@
         self._planned_for: tuple[int, frozenset[str]] | None = None
         self.relay = peer_relay.Relay(own=host)
         self._handlers: dict[type, mesh.Handler] = {}
-        self._pending: dict[int, _PendingRequest] = {}
+        self._pending: dict[int, io_connection.PendingRequest] = {}
         self._ids = itertools.count(1)
         self._dialers: dict[str, asyncio.Task[None]] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -292,7 +227,7 @@
             frame = codec.encode(message, message_id=message_id)
         except ValueError as error:
             return _refuse(_Code.PEER_MESSAGE_TOO_LARGE, str(error))
-        pending = _PendingRequest(
+        pending = io_connection.PendingRequest(
             host=host, future=asyncio.get_running_loop().create_future()
         )
         self._pending[message_id] = pending
@@ -414,7 +349,9 @@
                 self._dispatch(name, model.Frame(sighting))
 
     def _put(
-        self, connections: Iterable[_PeerConnection], message: model.Message
+        self,
+        connections: Iterable[io_connection.PeerConnection],
+        message: model.Message,
     ) -> None:
         try:
             frame = codec.encode(message)
@@ -425,7 +362,9 @@
         for connection in connections:
             connection.put(frame)
 
-    async def _reach(self, host: str, pending: _PendingRequest) -> bool:
+    async def _reach(
+        self, host: str, pending: io_connection.PendingRequest
+    ) -> bool:
         if host in self.connections:
             if host in self._on_demand:
                 self._keep_on_demand(host)
@@ -554,12 +493,12 @@
             _LOG.debug("Peer %s not reached: %s", url, error)
             return False
         try:
-            with self._join_deadline(websocket):
+            with self.handshake.join_deadline(websocket):
                 host = await self._greet(websocket, url=url, name=name)
             if host is None:
                 return True
             return await self._serve(websocket, host, dialled=True)
-        except _TurnedAwayError as error:
+        except io_handshake.TurnedAwayError as error:
             await self._turn_away(websocket, error.refusal, url)
         except exceptions.ConnectionClosed as closed:
             _LOG.warning("Peer %s ended the handshake: %s", url, closed)
@@ -574,7 +513,7 @@
         self, websocket: ws_connection.Connection, *, url: str, name: str
     ) -> core.EntryHost | None:
         """Join as the client; None where the pair is connected already."""
-        challenge = await _receive(websocket, model.Challenge)
+        challenge = await io_handshake.receive(websocket, model.Challenge)
         if url in self.seeds:
             self.seeds[url] = challenge.host
         if (
@@ -584,7 +523,7 @@
         ):
             return None
         if name and challenge.host != name:
-            raise _TurnedAwayError(
+            raise io_handshake.TurnedAwayError(
                 result_codes.Refusal(
                     _Code.PEER_UNAUTHENTICATED,
                     f"dialled {name}, reached {challenge.host}",
@@ -592,37 +531,15 @@
             )
         protocol = min(const.PROTOCOL_MAX, challenge.protocol_max)
         if protocol < max(const.PROTOCOL_MIN, challenge.protocol_min):
-            raise _TurnedAwayError(_version_refusal(challenge.protocol_max))
+            raise io_handshake.TurnedAwayError(
+                io_handshake.version_refusal(challenge.protocol_max)
+            )
         self._greeting.add(challenge.host)
         try:
-            return await self._prove(websocket, challenge, protocol)
+            return await self.handshake.prove(websocket, challenge, protocol)
         finally:
             self._greeting.discard(challenge.host)
 
-    async def _prove(
-        self,
-        websocket: ws_connection.Connection,
-        challenge: model.Challenge,
-        protocol: int,
-    ) -> core.EntryHost:
-        own = auth.OpenChallenge(timer=self.timer)
-        token = self.auth.sign(
-            audience=challenge.host, nonce=challenge.nonce, role="client"
-        )
-        hello = model.Hello(
-            protocol=protocol, host=self.host, token=token, nonce=own.nonce
-        )
-        await websocket.send(codec.encode(hello))
-        welcome = await _receive(websocket, model.Welcome)
-        if welcome.host.name != challenge.host:
-            raise _TurnedAwayError(
-                result_codes.Refusal(
-                    _Code.PEER_UNAUTHENTICATED, "name changed in handshake"
-                )
-            )
-        self._check(welcome.token, own, welcome.host, role="server")
-        return welcome.host
-
     # Accepting.
 
     async def _accept(self, websocket: server.ServerConnection) -> None:
@@ -632,9 +549,9 @@
             return
         self._unjoined += 1
         try:
-            with self._join_deadline(websocket):
-                host = await self._admit(websocket)
-        except _TurnedAwayError as error:
+            with self.handshake.join_deadline(websocket):
+                host = await self.handshake.admit(websocket)
+        except io_handshake.TurnedAwayError as error:
             await self._turn_away(websocket, error.refusal, where)
             return
         except exceptions.ConnectionClosed:
@@ -643,70 +560,6 @@
             self._unjoined -= 1
         await self._serve(websocket, host, dialled=False)
 
-    async def _admit(
-        self, websocket: ws_connection.Connection
-    ) -> core.EntryHost:
-        """Join as the server."""
-        own = auth.OpenChallenge(timer=self.timer)
-        await websocket.send(
-            codec.encode(
-                model.Challenge(
-                    protocol_min=const.PROTOCOL_MIN,
-                    protocol_max=const.PROTOCOL_MAX,
-                    host=self.host.name,
-                    nonce=own.nonce,
-                )
-            )
-        )
-        hello = await _receive(websocket, model.Hello)
-        if not (const.PROTOCOL_MIN <= hello.protocol <= const.PROTOCOL_MAX):
-            raise _TurnedAwayError(_version_refusal(hello.protocol))
-        self._check(hello.token, own, hello.host, role="client")
-        if hello.host.name == self.host.name:
-            raise _TurnedAwayError(
-                result_codes.Refusal(
-                    _Code.PEER_UNAUTHENTICATED, "name of this host"
-                )
-            )
-        welcome = model.Welcome(
-            protocol=hello.protocol,
-            host=self.host,
-            token=self.auth.sign(
-                audience=hello.host.name, nonce=hello.nonce, role="server"
-            ),
-        )
-        await websocket.send(codec.encode(welcome))
-        return hello.host
-
-    def _check(
-        self,
-        token: str,
-        challenge: auth.OpenChallenge,
-        claimed: core.EntryHost,
-        *,
-        role: str,
-    ) -> None:
-        result = self.auth.check(
-            token, challenge=challenge, claimed=claimed, role=role
-        )
-        match result:
-            case Failure(refusal):
-                raise _TurnedAwayError(refusal)
-
-    @contextlib.contextmanager
-    def _join_deadline(
-        self, websocket: ws_connection.Connection
-    ) -> Iterator[None]:
-        """Abort a handshake that takes longer than JOIN_VALID_S."""
-        expiry = self.timer.call_at(
-            when_s=self.timer.monotonic() + const.JOIN_VALID_S,
-            callback=websocket.transport.abort,
-        )
-        try:
-            yield
-        finally:
-            expiry.cancel()
-
     async def _turn_away(
         self,
         websocket: ws_connection.Connection,
@@ -739,7 +592,7 @@
                 host.name,
             )
             return False
-        connection = _PeerConnection(
+        connection = io_connection.PeerConnection(
             websocket=websocket, host=host, dialled=dialled, now=now
         )
         if not self._register(connection):
@@ -763,7 +616,7 @@
         for callback in self.on_superseded:
             callback()
 
-    def _register(self, connection: _PeerConnection) -> bool:
+    def _register(self, connection: io_connection.PeerConnection) -> bool:
         """Take the connection as the pair's only one, unless it loses.
 
         Both ends keep the one that the smaller name dialled; of two that
@@ -787,7 +640,7 @@
         self._members_changed()
         return True
 
-    def _unregister(self, connection: _PeerConnection) -> None:
+    def _unregister(self, connection: io_connection.PeerConnection) -> None:
         name = connection.host.name
         if self.connections.get(name) is not connection:
             return
@@ -798,11 +651,11 @@
         self._members_changed()
 
     def _drop(
-        self, connection: _PeerConnection, code: int, reason: str
+        self, connection: io_connection.PeerConnection, code: int, reason: str
     ) -> None:
         self._spawn(connection.websocket.close(code, reason))
 
-    def _announce(self, connection: _PeerConnection) -> None:
+    def _announce(self, connection: io_connection.PeerConnection) -> None:
         """Tell peers of each other, so that one setting joins a host."""
         if not self._mesh_is_full():
             return
@@ -827,7 +680,7 @@
         for callback in self.on_members:
             callback()
 
-    async def _read(self, connection: _PeerConnection) -> None:
+    async def _read(self, connection: io_connection.PeerConnection) -> None:
         async for data in connection.websocket:
             connection.received_at_s = self.timer.monotonic()
             if isinstance(data, str):
@@ -860,7 +713,7 @@
             return
 
     def _handle(
-        self, connection: _PeerConnection, frame: model.Frame
+        self, connection: io_connection.PeerConnection, frame: model.Frame
     ) -> result_codes.Refusal | None:
         """Act on a frame; a refusal closes the connection."""
         message = frame.message
@@ -952,40 +805,11 @@
             self.metrics.count_peer_message(kind, outcome)
 
 
-async def _receive(websocket: ws_connection.Connection, kind: type[_T]) -> _T:
-    data = await websocket.recv()
-    detail = "text frame"
-    if isinstance(data, bytes):
-        if len(data) > const.MAX_HANDSHAKE_BYTES:
-            raise _TurnedAwayError(
-                result_codes.Refusal(
-                    _Code.PEER_MESSAGE_TOO_LARGE, "in handshake"
-                )
-            )
-        match codec.decode(data):
-            case Success(model.Frame(message)) if isinstance(message, kind):
-                return message
-            case Failure(result_codes.Refusal() as refusal):
-                raise _TurnedAwayError(refusal)
-        detail = f"expected {kind.__name__}"
-    raise _TurnedAwayError(
-        result_codes.Refusal(_Code.PEER_UNAUTHENTICATED, detail)
-    )
-
-
 def _abort(transports: Iterable[asyncio.Transport]) -> None:
     for transport in transports:
         transport.abort()
 
 
-def _version_refusal(version: int) -> result_codes.Refusal:
-    return result_codes.Refusal(
-        _Code.PEER_VERSION_UNSUPPORTED,
-        f"version {version}, supported are {const.PROTOCOL_MIN} to "
-        f"{const.PROTOCOL_MAX}",
-    )
-
-
 def _refuse(
     code: result_codes.ResultCode, detail: str
 ) -> Result[Any, result_codes.Refusal]:
