Reset a server's connection whose request is not answered

The connection was closed in order, so the held bytes were delivered at 15.766 s, when the path was back, 2.9 s after the server had left. Ruled out: a stale entry of the server; the host had sent the request before the server left. Change: a request that times out, is cancelled or gets a broken answer ends its connection with a reset, which drops what was not delivered. Before and after: the new test fails on the former code (an orderly end) and passes.

--- a/src/samphirelug/components/http/io_pool.py
+++ b/src/samphirelug/components/http/io_pool.py
@@ -5,6 +5,7 @@
 import logging
 import re
 import socket
+import struct
 
 import httptools
 from returns.result import Failure
@@ -25,6 +26,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)", re.IGNORECASE)
+# Option of a socket that drops unsent bytes and resets when it is closed.
+NO_LINGER = struct.pack("ii", 1, 0)
 BODY_METHODS = frozenset(("POST", "PUT", "PATCH"))
 
 
@@ -52,7 +55,20 @@
         return False
 
     def close(self) -> None:
-        """Close the connection, which cancels work at most servers."""
+        """Close an idle connection."""
+        self.stream.close()
+
+    def reset(self) -> None:
+        """End a connection whose request is not answered.
+
+        Most servers cancel the work. After an orderly close, a request that
+        a partition holds up would still be delivered when the path is back.
+        """
+        if not self.stream.closed():
+            with contextlib.suppress(OSError):
+                self.stream.socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
+                )
         self.stream.close()
 
 
@@ -102,7 +118,7 @@
         try:
             result = await self._exchange(connection, attempt)
         except BaseException:
-            connection.close()
+            connection.reset()
             raise
         return result
 
@@ -189,18 +205,18 @@
             async with asyncio.timeout(left_s):
                 response = await self._read(connection, parser, attempt)
         except TimeoutError:
-            connection.close()
+            connection.reset()
             return _failed(
                 backend_model.FailureKind.TIMEOUT, "no whole answer in time"
             )
         except httptools.HttpParserError as error:
-            connection.close()
+            connection.reset()
             return _failed(
                 backend_model.FailureKind.INCOMPLETE,
                 f"the answer is not valid HTTP: {error}",
             )
         except (OSError, iostream.StreamClosedError) as error:
-            connection.close()
+            connection.reset()
             return _failed(
                 backend_model.FailureKind.RESET,
                 f"the connection ended early: {_cause(error)}",
--- a/tests/components/http/test_io_pool.py
+++ b/tests/components/http/test_io_pool.py
@@ -321,3 +321,38 @@
         assert kind_of(await sender.send(nowhere)) is Kind.NOT_SENT
 
     run(echo(), use)
+
+
+def test_request_that_timed_out_is_not_delivered_later() -> None:
+    """Guard against a partition that holds up a request and then heals.
+
+    The bytes are dropped only if the sender resets the connection.
+    """
+    ends: list[str] = []
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter, _: int
+    ) -> None:
+        del writer
+        await reader.readuntil(b"\r\n\r\n")
+        try:
+            await reader.read()
+            ends.append("closed")
+        except ConnectionResetError:
+            ends.append("reset")
+
+    async def use(
+        sender: io_pool.PooledSender,
+        attempt: Callable[..., model.Attempt],
+        server: Server,
+    ) -> None:
+        del server
+        timed_out = await sender.send(attempt("r1"))
+        assert kind_of(timed_out) is Kind.TIMEOUT
+        cancelled = asyncio.ensure_future(sender.send(attempt("r2")))
+        await asyncio.sleep(0.1)
+        cancelled.cancel()
+        await asyncio.sleep(0.1)
+        assert ends == ["reset", "reset"]
+
+    run(serve, use)
