Order the operators' race and the stranger's try by events

The trace of the latter's failure was not kept; it is inferred from the code. Ruled out: a lost conflict; the second write read the first one's revision. Change: the store's stand-in holds the first write to the catalogue until the other has come; the test of the stranger waits for the refusal, checks at each poll that it is no peer, and then checks the peers as before. Checks are as strict as before. status.py names the parts that it reports as a protocol, which ends its circle with entry_host.py.

--- a/src/samphirelug/entry_host.py
+++ b/src/samphirelug/entry_host.py
@@ -71,7 +71,7 @@
 
     def __init__(self, *, settings: settings_module.EntryHostSettings) -> None:
         self.settings = settings
-        self.timer = timer.LoopTimerService()
+        self.timer: timer.TimerService = timer.LoopTimerService()
         self.started_at_s = self.timer.monotonic()
         self.rng = random.Random(secrets.randbits(64))
         self.metrics = registry.Metrics()
--- a/src/samphirelug/status.py
+++ b/src/samphirelug/status.py
@@ -1,14 +1,21 @@
 """Report an entry host's state to operators."""
 
 import logging
-import typing
 from typing import Any
+from typing import Protocol
 
+from samphirelug.components.admission import controller
+from samphirelug.components.catalogue import state as catalogue_state
 from samphirelug.components.gateway import const as gateway_const
+from samphirelug.components.gateway import service
+from samphirelug.components.metrics import registry
+from samphirelug.components.peers import mesh
+from samphirelug.components.peers import model as peers_model
+from samphirelug.components.quota import ledger
+from samphirelug.components.quota import loans
 from samphirelug import core
-
-if typing.TYPE_CHECKING:
-    from samphirelug import entry_host as entry_host_module
+from samphirelug.helpers import loop_lag
+from samphirelug.helpers import timer as timer_helper
 
 LOGGER = logging.getLogger(__name__)
 SEAT_CHECK_S = 1.0
@@ -16,12 +23,36 @@
 METRIC_KEYS = ("region:", "shift:", "link:")
 
 
+class ReportedHost(Protocol):
+    """Name the parts of an entry host that are reported."""
+
+    host: core.EntryHost
+    state: core.EntryHostState
+    started_at_s: float
+    timer: timer_helper.TimerService
+    lag: loop_lag.LoopLagMonitor
+    metrics: registry.Metrics
+    catalogue: catalogue_state.CatalogueState
+    service: service.CallerService
+    admission: controller.AdmissionController
+    ledger: ledger.QuotaLedger
+    borrower: loans.Borrower
+
+    @property
+    def mesh(self) -> mesh.PeerMesh:
+        """Return the connections to other entry hosts."""
+
+    def heartbeat(self) -> peers_model.Heartbeat:
+        """Return the host's own heartbeat."""
+
+    def not_ready(self) -> str | None:
+        """Return why callers should not use the host, None if they may."""
+
+
 class StatusReport:
     """Collect what operators ask for from the parts of an entry host."""
 
-    def __init__(
-        self, *, entry_host: "entry_host_module.EntryHostProcess"
-    ) -> None:
+    def __init__(self, *, entry_host: ReportedHost) -> None:
         self.entry_host = entry_host
         self.valid_seats: set[str] = set()
 
--- a/standins/store.py
+++ b/standins/store.py
@@ -34,6 +34,7 @@
 # The platform takes values of up to a megabyte.
 MAX_BODY_BYTES = 1024 * 1024
 MAX_WATCH_S = 60.0
+CATALOGUE_PREFIX = "catalogue/"
 
 
 class FaultSettings(TypedDict, total=False):
@@ -47,6 +48,9 @@
     lose_answers: int
     # This many next writes are dropped before they take effect.
     lose_requests: int
+    # This many next writes to the catalogue wait until all have come; entry
+    # hosts' own writes go on.
+    gather_writes: int
     # Reads, lists and watches answer as of this many revisions ago.
     stale_by: int
     # This many next watch answers leave out their objects.
@@ -64,6 +68,7 @@
         self.delay_s = 0.0
         self.lose_answers = 0
         self.lose_requests = 0
+        self.gather_writes = 0
         self.stale_by = 0
         self.skip_watch_answers = 0
 
@@ -92,6 +97,8 @@
         )
         self.faults = Faults()
         self.calls: collections.Counter[str] = collections.Counter()
+        # Set when the last of the gathered writes has come.
+        self.gathered = asyncio.Event()
         self.waiting = 0
         self.waiters: set[asyncio.Future[None]] = set()
 
@@ -356,6 +363,11 @@
             expected = int(self.request.headers["If-Match"])
         except (KeyError, ValueError):
             raise tornado.web.HTTPError(400, "bad value or If-Match") from None
+        if faults.gather_writes and key.startswith(CATALOGUE_PREFIX):
+            faults.gather_writes -= 1
+            if not faults.gather_writes:
+                self.core.gathered.set()
+            await self.core.gathered.wait()
         outcome = self.core.put(key, value, expected)
         if faults.lose_answers:
             faults.lose_answers -= 1
--- a/tests/system/test_operators.py
+++ b/tests/system/test_operators.py
@@ -16,6 +16,7 @@
 
 Code = result_codes.ResultCode
 IN_FORCE_S = 4.0
+POLL_S = 0.2
 
 
 def run_fleet(scenario: Callable[[fleet.Fleet], Awaitable[None]]) -> None:
@@ -69,6 +70,12 @@
     )
 
 
+async def peer_names(running: fleet.Fleet, url: str) -> set[str]:
+    """Return the peers that an entry host is connected to."""
+    status = await running.get_json(f"{url}/v1/status")
+    return {peer["name"] for peer in status["peers"]}
+
+
 def test_change_is_in_force_on_every_host() -> None:
     """Guards against a change that is called in force and is not."""
 
@@ -122,8 +129,8 @@
             for limit in (7, 8)
         ]
         before = await current_region(running)
-        # Both read before either writes, since the store answers late.
-        await set_store_faults(running, delay_s=0.5)
+        # Both read before either writes: the first write waits for the other.
+        await set_store_faults(running, gather_writes=2)
         results = await asyncio.gather(*(apply(running, p) for p in paths))
         await set_store_faults(running)
         codes = sorted(code for code, _, _ in results)
@@ -159,16 +166,16 @@
 
     async def scenario(running: fleet.Fleet) -> None:
         await running.start_host("eh-tartu-2", wait=False)
+        url = running.operator_url("eh-tartu")
+        metrics = ""
+        # The stranger tries to join once its process has started.
+        while "peer_unauthenticated" not in metrics:
+            await harness.TIMER.sleep(POLL_S)
+            metrics = await running.get_text(f"{url}/metrics")
+            assert "eh-tartu-2" not in await peer_names(running, url)
         await harness.TIMER.sleep(3)
-        status = await running.get_json(
-            f"{running.operator_url('eh-tartu')}/v1/status"
-        )
-        names = {peer["name"] for peer in status["peers"]}
+        names = await peer_names(running, url)
         assert names == {"eh-tallinn", "eh-tallinn-2"}
-        metrics = await running.get_text(
-            f"{running.operator_url('eh-tartu')}/metrics"
-        )
-        assert "peer_unauthenticated" in metrics
 
     async def run() -> None:
         async with fleet.Fleet(places=demo.PLACES) as running:
