Do not shut down a connection that has closed meanwhile

Cause: found by reading: a caller that closes between the last write and the end of the sending side leaves a stream without a socket, and the writing task would end with a traceback.

--- a/src/samphirelug/components/http/io_pipeline.py
+++ b/src/samphirelug/components/http/io_pipeline.py
@@ -313,6 +313,8 @@
 
     def _linger(self) -> None:
         """End the sending side; close when the caller does, or soon."""
+        if self.stream.closed():
+            return
         with contextlib.suppress(OSError):
             self.stream.socket.shutdown(socket.SHUT_WR)
         timer = self.listener.timer
