--- a/src/samphirelug/components/http/handler.py
+++ b/src/samphirelug/components/http/handler.py
@@ -11,6 +11,7 @@
 from samphirelug.components.forwarding import model as forwarding_model
 from samphirelug.components.http import io_pipeline
 from samphirelug.components.http import model
+from samphirelug.components.http import request_parser
 from samphirelug import result_codes
 
 _LOGGER = logging.getLogger(__name__)
@@ -30,19 +31,19 @@
         self.forwarder = forwarder
         self.names = names
 
-    def may_overlap(self, message: io_pipeline.CallerMessage) -> bool:
+    def may_overlap(self, message: request_parser.CallerMessage) -> bool:
         """Tell whether the request may run more than once."""
         route = self.forwarder.route_of(
             hostname=_hostname(message), target=message.target
         )
         return route is not None and route.idempotent
 
-    def ends_with_caller(self, message: io_pipeline.CallerMessage) -> bool:
+    def ends_with_caller(self, message: request_parser.CallerMessage) -> bool:
         """Tell whether nothing is lost when the request is cancelled."""
         return self.may_overlap(message)
 
     async def handle(
-        self, message: io_pipeline.CallerMessage
+        self, message: request_parser.CallerMessage
     ) -> model.Response:
         """Return the server's answer or a refusal."""
         request = self._parse(message)
@@ -73,7 +74,7 @@
         )
 
     def _parse(
-        self, message: io_pipeline.CallerMessage
+        self, message: request_parser.CallerMessage
     ) -> forwarding_model.ReceivedRequest | None:
         request_id = message.get(self.names.request_id)
         hostname = _hostname(message)
@@ -97,7 +98,7 @@
             deadline_at_s=deadline_at_s,
         )
 
-    def _affinity_key(self, message: io_pipeline.CallerMessage) -> str:
+    def _affinity_key(self, message: request_parser.CallerMessage) -> str:
         header = message.get("cookie")
         if header is None:
             return ""
@@ -129,5 +130,5 @@
         return model.Response(status, reason, tuple(headers), body)
 
 
-def _hostname(message: io_pipeline.CallerMessage) -> str:
+def _hostname(message: request_parser.CallerMessage) -> str:
     return (message.get("host") or "").partition(":")[0]
--- a/src/samphirelug/components/http/io_pool.py
+++ b/src/samphirelug/components/http/io_pool.py
@@ -5,7 +5,6 @@
 import logging
 import re
 import socket
-import struct
 
 import httptools
 from returns.result import Failure
@@ -17,6 +16,7 @@
 from samphirelug.components.fleet import model as fleet_model
 from samphirelug.components.forwarding import model
 from samphirelug.components.http import const
+from samphirelug.components.http import io_connection
 from samphirelug.components.http import model as http_model
 from samphirelug.components.http import response_parser
 from samphirelug.components.placement import load as placement_load
@@ -26,52 +26,9 @@
 
 _LOGGER = logging.getLogger(__name__)
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)", re.IGNORECASE)
-# Option of a socket that drops unsent bytes and resets when it is closed.
-NO_LINGER = struct.pack("ii", 1, 0)
 BODY_METHODS = frozenset(("POST", "PUT", "PATCH"))
 
 
-class ServerConnection:
-    """Hold a connection to one incarnation of a server."""
-
-    def __init__(self, *, stream: iostream.IOStream) -> None:
-        self.stream = stream
-        self.idle_since_s = 0.0
-        self.kept_s = const.KEPT_DEFAULT_S
-        # A stray answer to this request may still arrive.
-        self.last_request_id = ""
-
-    def is_clean(self) -> bool:
-        """Tell whether the connection is open with nothing to read."""
-        if self.stream.closed():
-            return False
-        try:
-            self.stream.socket.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        # Stray bytes, or the server's close.
-        return False
-
-    def close(self) -> None:
-        """Close an idle connection."""
-        self.stream.close()
-
-    def reset(self) -> None:
-        """End a connection whose request is not answered.
-
-        Most servers cancel the work. After an orderly close, a request that
-        a partition holds up would still be delivered when the path is back.
-        """
-        if not self.stream.closed():
-            with contextlib.suppress(OSError):
-                self.stream.socket.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
-                )
-        self.stream.close()
-
-
 class PooledSender(model.AttemptSender):
     """Reuse connections, and classify how each attempt ended."""
 
@@ -83,7 +40,9 @@
     ) -> None:
         self.timer = timer
         self.names = names
-        self.kept: dict[tuple[str, int], list[ServerConnection]] = {}
+        self.kept: dict[
+            tuple[str, int], list[io_connection.ServerConnection]
+        ] = {}
         self.dropped_request_headers = frozenset(
             (
                 "content-length",
@@ -124,7 +83,7 @@
 
     async def _open(
         self, attempt: model.Attempt
-    ) -> Result[ServerConnection, backend_model.BackendFailure]:
+    ) -> Result[io_connection.ServerConnection, backend_model.BackendFailure]:
         detail = "no connection in time"
         for _ in range(const.CONNECT_TRIES):
             left_s = attempt.answer_by_s - self.timer.monotonic()
@@ -151,14 +110,16 @@
                 stream.close()
                 raise
             else:
-                return Success(ServerConnection(stream=stream))
+                return Success(io_connection.ServerConnection(stream=stream))
         return Failure(
             backend_model.BackendFailure(
                 backend_model.FailureKind.NOT_SENT, detail
             )
         )
 
-    def _take_kept(self, attempt: model.Attempt) -> ServerConnection | None:
+    def _take_kept(
+        self, attempt: model.Attempt
+    ) -> io_connection.ServerConnection | None:
         kept = self.kept.get(attempt.server.incarnation)
         now = self.timer.monotonic()
         while kept:
@@ -178,7 +139,9 @@
         return None
 
     async def _exchange(
-        self, connection: ServerConnection, attempt: model.Attempt
+        self,
+        connection: io_connection.ServerConnection,
+        attempt: model.Attempt,
     ) -> model.AttemptResult:
         # The process may have been paused before. There is no await between
         # this check and the write.
@@ -230,7 +193,7 @@
 
     async def _read(
         self,
-        connection: ServerConnection,
+        connection: io_connection.ServerConnection,
         parser: response_parser.ResponseParser,
         attempt: model.Attempt,
     ) -> response_parser.ParsedResponse:
@@ -329,7 +292,9 @@
         return head.encode("latin-1") + request.body
 
     def _keep(
-        self, connection: ServerConnection, attempt: model.Attempt
+        self,
+        connection: io_connection.ServerConnection,
+        attempt: model.Attempt,
     ) -> None:
         kept = self.kept.setdefault(attempt.server.incarnation, [])
         if len(kept) >= const.MAX_KEPT:
@@ -354,7 +319,7 @@
 
 
 def _may_keep(
-    connection: ServerConnection,
+    connection: io_connection.ServerConnection,
     parser: response_parser.ResponseParser,
     response: response_parser.ParsedResponse,
 ) -> bool:
--- /dev/null
+++ b/src/samphirelug/components/http/request_parser.py
@@ -0,0 +1,125 @@
+"""Split the bytes of a caller's connection into whole requests."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import httptools
+
+from samphirelug.components.routing import model as routing_model
+from samphirelug.helpers import timer as timer_helper
+
+
+class CallerMessage(NamedTuple):
+    """Hold one whole HTTP request."""
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    received_at_s: float
+
+    def get(self, name: str) -> str | None:
+        """Return the first value of a header, named in lower case."""
+        for known, value in self.headers:
+            if known.lower() == name:
+                return value
+        return None
+
+
+class RequestError(Exception):
+    """Carry the status for a request that cannot be read."""
+
+    def __init__(self, *, status: int) -> None:
+        super().__init__(f"status {status}")
+        self.status = status
+
+
+class RequestParser:
+    """Split the bytes of a connection into whole requests."""
+
+    def __init__(
+        self,
+        *,
+        limits: Callable[[], routing_model.CallerLimits],
+        timer: timer_helper.TimerService,
+    ) -> None:
+        self.limits = limits
+        self.timer = timer
+        self.parser = httptools.HttpRequestParser(self)
+        self.ready: list[tuple[CallerMessage, bool]] = []
+        self.wants_continue = False
+        # Set while a request is only partly received.
+        self.started_at_s: float | None = None
+        self._reset()
+
+    def feed(self, data: bytes) -> None:
+        """Take bytes; raise RequestError where they are no request."""
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # Served as if no upgrade had been asked for.
+            return
+        except httptools.HttpParserCallbackError as error:
+            if isinstance(error.__context__, RequestError):
+                raise error.__context__ from None
+            raise
+        except httptools.HttpParserError as error:
+            raise RequestError(status=400) from error
+
+    def _reset(self) -> None:
+        self.target = b""
+        self.headers: list[tuple[str, str]] = []
+        self.header_bytes = 0
+        self.chunks: list[bytes] = []
+        self.body_bytes = 0
+
+    # Callbacks of the parser
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self._reset()
+        self.started_at_s = self.timer.monotonic()
+
+    def on_url(self, url: bytes) -> None:
+        """Keep a part of the target."""
+        self.target += url
+        self._count_header_bytes(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header."""
+        self._count_header_bytes(len(name) + len(value) + 4)
+        self.headers.append((name.decode("latin-1"), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        """Note whether the caller waits for leave to send the body."""
+        self.wants_continue = any(
+            name.lower() == "expect" and "100-continue" in value.lower()
+            for name, value in self.headers
+        )
+
+    def on_body(self, body: bytes) -> None:
+        """Keep a part of the body."""
+        self.wants_continue = False
+        self.body_bytes += len(body)
+        if self.body_bytes > self.limits().max_body_bytes:
+            raise RequestError(status=413)
+        self.chunks.append(body)
+
+    def on_message_complete(self) -> None:
+        """Hand over the whole request."""
+        message = CallerMessage(
+            method=self.parser.get_method().decode("latin-1"),
+            target=self.target.decode("latin-1"),
+            headers=tuple(self.headers),
+            body=b"".join(self.chunks),
+            received_at_s=self.timer.monotonic(),
+        )
+        keep_alive = bool(self.parser.should_keep_alive())
+        self.ready.append((message, keep_alive))
+        self.wants_continue = False
+        self.started_at_s = None
+
+    def _count_header_bytes(self, size: int) -> None:
+        self.header_bytes += size
+        if self.header_bytes > self.limits().max_header_bytes:
+            raise RequestError(status=431)
--- a/standins/soak/servers.py
+++ b/standins/soak/servers.py
@@ -8,6 +8,7 @@
 
 from samphirelug.components.http import io_pipeline
 from samphirelug.components.http import model as http_model
+from samphirelug.components.http import request_parser
 from samphirelug.helpers import timer as timer_helper
 from standins import forwarding as build
 
@@ -45,18 +46,18 @@
         self.answered_id = ""
         self.left_at_s: float | None = None
 
-    def may_overlap(self, message: io_pipeline.CallerMessage) -> bool:
+    def may_overlap(self, message: request_parser.CallerMessage) -> bool:
         """Serve one request at a time on a connection."""
         del message
         return False
 
-    def ends_with_caller(self, message: io_pipeline.CallerMessage) -> bool:
+    def ends_with_caller(self, message: request_parser.CallerMessage) -> bool:
         """Drop the request when its connection closes."""
         del message
         return True
 
     async def handle(
-        self, message: io_pipeline.CallerMessage
+        self, message: request_parser.CallerMessage
     ) -> http_model.Response:
         """Run a request, or say that it was not run."""
         request_id = message.get(REQUEST_ID) or ""
--- a/tests/components/http/test_io_pipeline.py
+++ b/tests/components/http/test_io_pipeline.py
@@ -6,6 +6,7 @@
 
 from samphirelug.components.http import io_pipeline
 from samphirelug.components.http import model
+from samphirelug.components.http import request_parser
 from samphirelug.helpers import timer as timer_helper
 from standins import forwarding as build
 
@@ -18,16 +19,16 @@
         self.ended: list[str] = []
         self.bodies: list[bytes] = []
 
-    def may_overlap(self, message: io_pipeline.CallerMessage) -> bool:
+    def may_overlap(self, message: request_parser.CallerMessage) -> bool:
         """Tell whether the request is a GET."""
         return message.method == "GET"
 
-    def ends_with_caller(self, message: io_pipeline.CallerMessage) -> bool:
+    def ends_with_caller(self, message: request_parser.CallerMessage) -> bool:
         """Tell whether the request is a GET."""
         return message.method == "GET"
 
     async def handle(
-        self, message: io_pipeline.CallerMessage
+        self, message: request_parser.CallerMessage
     ) -> model.Response:
         """Wait and answer."""
         self.started.append(message.target)
@@ -283,7 +284,7 @@
         """Answer with a large body."""
 
         async def handle(
-            self, message: io_pipeline.CallerMessage
+            self, message: request_parser.CallerMessage
         ) -> model.Response:
             """Answer at once."""
             self.started.append(message.target)
