Log and count what a host sends to a cold backend server

New: the lines 'backend server is cold' and 'cold start of backend server ended', two fields of attempts, and samphirelug_cold_requests_total. The decisions are unchanged.

--- a/src/samphirelug/components/forwarding/request_log.py
+++ b/src/samphirelug/components/forwarding/request_log.py
@@ -43,6 +43,9 @@
             "took_ms": _milliseconds(ended_at_s - self.started_at_s),
             "outcome": self.outcome,
         }
+        if self.candidate.cold_for_s:
+            fields["cold_for_ms"] = _milliseconds(self.candidate.cold_for_s)
+            fields["hosts"] = self.candidate.hosts
         if self.detail:
             fields["detail"] = self.detail
         return fields
@@ -176,6 +179,9 @@
         )
         for record in trace.attempts[1:]:
             self.metrics.count_retry(record.outcome)
+        for record in trace.attempts:
+            if record.candidate.cold_for_s:
+                self.metrics.count_cold_request(trace.service)
 
 
 def _milliseconds(seconds: float | None) -> int | None:
--- a/src/samphirelug/components/metrics/forwarding.py
+++ b/src/samphirelug/components/metrics/forwarding.py
@@ -21,6 +21,11 @@
             "Further attempts by their outcome",
             registry=self.registry,
         )
+        self.cold_requests = collectors.Counter(
+            "samphirelug_cold_requests_total",
+            "Attempts at servers known to be cold, by service",
+            registry=self.registry,
+        )
         self.latency = collectors.Histogram(
             "samphirelug_request_seconds",
             "Time from the whole request to its result by route and code",
@@ -57,6 +62,10 @@
         """Count a retry of a request."""
         self.retries.inc({"outcome": outcome})
 
+    def count_cold_request(self, service: str) -> None:
+        """Count an attempt at a server that is known to be cold."""
+        self.cold_requests.inc({"service": service})
+
     def count_store_call(self, kind: str, outcome: str) -> None:
         """Count a call to the store."""
         self.store_calls.inc({"kind": kind, "outcome": outcome})
--- a/src/samphirelug/components/placement/placer.py
+++ b/src/samphirelug/components/placement/placer.py
@@ -47,6 +47,10 @@
     estimate: float
     # None if the server has not reported its load.
     report_age_s: float | None
+    # Remaining cold start of the server as known to this host; 0 if warm.
+    cold_for_s: float
+    # Number of hosts that share the request rate of a cold server.
+    hosts: int
 
 
 class Placer:
@@ -91,19 +95,19 @@
             load = self.loads.get_or_create(server.incarnation)
             if now < load.paused_until_s:
                 continue
-            if (
-                now < server.cold_until_s
-                and not self.cold_start_limiter.allows(
-                    server.incarnation,
-                    now=now,
-                    requests_per_s=service.cold_requests_per_s,
-                    hosts=self.host_count(),
-                )
+            cold_for_s = max(0.0, server.cold_until_s - now)
+            if not self._allows_cold_start(
+                server, service, load, now=now, cold_for_s=cold_for_s
             ):
                 continue
             ratio = const.SPILL_RATIO if full_candidates else const.FULL_RATIO
             candidate = Candidate(
-                server, choice, load.estimate(now), load.report_age_s(now)
+                server,
+                choice,
+                load.estimate(now),
+                load.report_age_s(now),
+                cold_for_s,
+                self.host_count(),
             )
             if candidate.estimate < ratio * server.slots:
                 return Success(candidate)
@@ -114,6 +118,29 @@
             )
         return Failure(_refuse_unusable(ordered_servers))
 
+    def _allows_cold_start(
+        self,
+        server: fleet_model.ServerInstance,
+        service: routing_model.Service,
+        load: placement_load.ServerLoad,
+        *,
+        now: float,
+        cold_for_s: float,
+    ) -> bool:
+        """Return whether the server is warm or this host has its turn."""
+        if not cold_for_s:
+            self.cold_start_limiter.end(server, now=now)
+            return True
+        self.cold_start_limiter.begin(
+            server, now=now, cold_for_s=cold_for_s, in_flight=load.in_flight
+        )
+        return self.cold_start_limiter.allows(
+            server.incarnation,
+            now=now,
+            requests_per_s=service.cold_requests_per_s,
+            hosts=self.host_count(),
+        )
+
     def _refuse_full(
         self,
         route: routing_model.Route,
--- a/tests/components/placement/test_placer.py
+++ b/tests/components/placement/test_placer.py
@@ -1,5 +1,8 @@
 """Test the selection of a server by load, health and cold start."""
 
+import logging
+
+import pytest
 from returns.result import Failure
 from returns.result import Success
 
@@ -178,3 +181,22 @@
     # Limit of a deployment: 2.7 x 1.5 + 5.
     assert max_per_s <= 9
     assert times
+
+
+def test_flood_of_a_cold_server_shows_in_the_log(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guard against a log that hides why a cold server got its requests."""
+    server = build.server("s0", cold_until_s=3.0)
+    server_placer = make_placer(server, hosts=2)
+    server_placer.loads.get_or_create(server.incarnation).in_flight = 4
+    with caplog.at_level(logging.INFO):
+        choose_server(server_placer, now=0.0)
+        assert choose_server(server_placer, now=1.0) == "s0"
+        server_placer.record_sent(server, service=SERVICE, now=1.0)
+        choose_server(server_placer, now=3.0)
+    begin, end = (record.__dict__ for record in caplog.records)
+    assert begin["message"] == "backend server is cold"
+    assert (begin["cold_for_s"], begin["in_flight"]) == (3.0, 4)
+    assert end["message"] == "cold start of backend server ended"
+    assert (end["sent"], end["withheld"], end["fewest_hosts"]) == (1, 1, 2)
