Let an unused turn at a cold backend server lapse

Cause: a host kept the time of its next turn for as long as it knew the server. After an evacuation, or at the second cold start of the same server, that time was past on every host, so that all of them sent at once: 10 of 9.05 allowed with ten hosts, 80 with eighty.

Change: a host's turns lie on a grid of the shared interval, with an offset hashed from host and server, and last half a second at most. A turn that is not used is lost. The hosts that are let go together are then only those whose turn it is.

Result: test_hosts_held_up_together_do_not_send_together failed before in both cases (10 of 9.05) and passes.

--- a/src/samphirelug/components/placement/cold.py
+++ b/src/samphirelug/components/placement/cold.py
@@ -2,8 +2,10 @@
 
 After a restart of a zone, a cold server crashes when all entry hosts send it
 their usual requests at once. The hosts therefore share the rate that a cold
-server can handle: each sends at the same interval, with an offset hashed from
-the names of host and server.
+server can handle: each has one turn in an interval, with an offset hashed from
+the names of host and server. A turn that is not used lapses. Otherwise hosts
+that could not send for a while, such as during an evacuation, would all send
+at the same moment.
 """
 
 import logging
@@ -17,6 +19,10 @@
 # This minimum keeps the interval finite when a service is configured without
 # a rate.
 MIN_REQUESTS_PER_S = 0.01
+# Longest turn of a host. Within one second, the hosts whose turn has begun at
+# its start are added to those whose turn begins during it: with half a second
+# these are 1.5 times the rate together.
+MAX_TURN_S = 0.5
 
 
 class ColdPeriod:
@@ -40,7 +46,7 @@
 
     def __init__(self, *, host: str) -> None:
         self.host = host
-        self.next_allowed_at_s: dict[Incarnation, float] = {}
+        self.last_sent_at_s: dict[Incarnation, float] = {}
         self.periods: dict[Incarnation, ColdPeriod] = {}
 
     def begin(
@@ -96,43 +102,40 @@
         period = self.periods.get(incarnation)
         if period is not None:
             period.count_host_share(hosts)
-        next_allowed_at_s = self.next_allowed_at_s.get(incarnation)
-        if next_allowed_at_s is None:
-            # All hosts discover a cold server at about the same time; the
-            # offset spreads their first requests over one interval.
-            hash_input = f"{self.host}\0{incarnation[0]}"
-            offset = xxhash.xxh32_intdigest(hash_input.encode()) / (1 << 32)
-            next_allowed_at_s = now + offset * _interval_s(
-                requests_per_s, hosts
-            )
-            self.next_allowed_at_s[incarnation] = next_allowed_at_s
-        if now >= next_allowed_at_s:
+        interval_s = _interval_s(requests_per_s, hosts)
+        turn_s = _turn_s(interval_s)
+        offset_s = interval_s * self._turn_offset(incarnation)
+        last_sent_at_s = self.last_sent_at_s.get(incarnation, float("-inf"))
+        if (now - offset_s) % interval_s < turn_s and (
+            now - last_sent_at_s >= interval_s - turn_s
+        ):
             return True
         if period is not None:
             period.withheld += 1
         return False
 
-    def record_request(
-        self,
-        incarnation: Incarnation,
-        *,
-        now: float,
-        requests_per_s: float,
-        hosts: int,
-    ) -> None:
-        """Start this host's next interval for the server."""
+    def record_request(self, incarnation: Incarnation, *, now: float) -> None:
+        """Use up this host's turn at the server."""
         period = self.periods.get(incarnation)
         if period is not None:
             period.sent += 1
-        self.next_allowed_at_s[incarnation] = now + _interval_s(
-            requests_per_s, hosts
-        )
+        self.last_sent_at_s[incarnation] = now
 
     def remove(self, incarnation: Incarnation) -> None:
         """Remove the state of an incarnation that has left."""
-        self.next_allowed_at_s.pop(incarnation, None)
+        self.last_sent_at_s.pop(incarnation, None)
         self.periods.pop(incarnation, None)
 
+    def _turn_offset(self, incarnation: Incarnation) -> float:
+        """Return where in each interval this host's turn is, from 0 to 1."""
+        hash_input = f"{self.host}\0{incarnation[0]}"
+        return xxhash.xxh32_intdigest(hash_input.encode()) / (1 << 32)
+
 
 def _interval_s(requests_per_s: float, hosts: int) -> float:
     return max(1, hosts) / max(requests_per_s, MIN_REQUESTS_PER_S)
+
+
+def _turn_s(interval_s: float) -> float:
+    """Return the length of a host's turn within its interval."""
+    return min(MAX_TURN_S, interval_s / 2)
--- a/src/samphirelug/components/placement/placer.py
+++ b/src/samphirelug/components/placement/placer.py
@@ -197,12 +197,7 @@
         """Count a request that is about to be sent to the server."""
         self.loads.get_or_create(server.incarnation).in_flight += 1
         if self._cold_for_s(server, service, now=now):
-            self.cold_start_limiter.record_request(
-                server.incarnation,
-                now=now,
-                requests_per_s=service.cold_requests_per_s,
-                hosts=self.host_count(),
-            )
+            self.cold_start_limiter.record_request(server.incarnation, now=now)
 
     def record_ended(self, server: fleet_model.ServerInstance) -> None:
         """Stop counting a request that has ended at the server."""
--- a/tests/components/placement/test_cold_start.py
+++ b/tests/components/placement/test_cold_start.py
@@ -139,3 +139,28 @@
         fleet.max_in_a_second(since_s=warm_from_s)
         > 2 * MAX_REQUESTS_IN_A_SECOND
     )
+
+
+@pytest.mark.parametrize(
+    "evacuated",
+    [
+        pytest.param((), id="warm-meanwhile"),
+        pytest.param((ZONE,), id="evacuated-meanwhile"),
+    ],
+)
+def test_hosts_held_up_together_do_not_send_together(
+    fleet: ColdFleet, evacuated: tuple[str, ...]
+) -> None:
+    """Guard against turns that wait on all hosts and are used at once."""
+    fleet.put_server(cold_for_s=3.0)
+    fleet.run(3.0)
+    fleet.set_evacuated(*evacuated)
+    fleet.now += 30.0
+    fleet.end_requests()
+    fleet.put_server(cold_for_s=3.0)
+    fleet.set_evacuated()
+    cold_from_s = fleet.now
+    fleet.run(3.0)
+    assert (
+        fleet.max_in_a_second(since_s=cold_from_s) <= MAX_REQUESTS_IN_A_SECOND
+    )
