Take no share of what hosts have together before their number is known

Cause: a host divides the rate of a cold server, and the slack of the retry budget, by the number of hosts that it knows. Between its start and its first list of hosts it knew only itself and took all of both: 0.4 to 0.5 s for hosts in other regions than the store, and for as long as the store refused the registration, which had to succeed before the first list. The first list could also be stale.

Change: the number of hosts is unknown until the first list. Until then a host sends nothing to cold servers and has no share of the slack; retries within the ratio to its own requests go on. The list does not wait for a successful registration, and lists are not stale until both have succeeded.

--- a/src/samphirelug/components/fleet/enrolment.py
+++ b/src/samphirelug/components/fleet/enrolment.py
@@ -14,7 +14,7 @@
 
 _LOGGER = logging.getLogger(__name__)
 _HOST_ADAPTER = pydantic.TypeAdapter(model.HostInstance)
-# Interval between attempts to register.
+# Interval between attempts to register and to read the first list.
 RETRY_INTERVAL_S = 1.0
 
 
@@ -34,19 +34,24 @@
         self.timer = timer
 
     async def run(self) -> None:
-        """Register, then refresh the roster until cancelled.
+        """Register and refresh the roster until cancelled.
 
-        The start is announced after the first successful refresh, when the
-        addresses of the other hosts are known.
+        The roster is also refreshed while the registration fails, since this
+        host must know how many others there are. The start is announced once
+        it is registered and the addresses of the other hosts are known.
         """
-        while not await self._register():
-            await self.timer.sleep(RETRY_INTERVAL_S)
-        announced = False
+        registered = announced = False
         while True:
-            if await self._refresh_roster() and not announced:
+            registered = registered or await self._register()
+            # The first list must not be stale: it may lack hosts that have
+            # just started too, and this host's shares would be too large.
+            listed = await self._refresh_roster(allow_stale=announced)
+            if registered and listed and not announced:
                 announced = True
                 self.protocol.announce_start()
-            await self.timer.sleep(const.LIST_INTERVAL_S)
+            await self.timer.sleep(
+                const.LIST_INTERVAL_S if announced else RETRY_INTERVAL_S
+            )
 
     async def deregister(self) -> None:
         """Remove this host from the store's list."""
@@ -63,9 +68,9 @@
         )
         return not isinstance(written, Failure)
 
-    async def _refresh_roster(self) -> bool:
+    async def _refresh_roster(self, *, allow_stale: bool) -> bool:
         answer = await self.feed.list(
-            store_feed.ObjectKind.ENTRY_HOSTS, allow_stale=True
+            store_feed.ObjectKind.ENTRY_HOSTS, allow_stale=allow_stale
         )
         if isinstance(answer, Failure):
             return False
--- a/src/samphirelug/components/fleet/roster.py
+++ b/src/samphirelug/components/fleet/roster.py
@@ -57,11 +57,16 @@
         self.own = own
         self.records: dict[str, HostRecord] = {}
         self.last_tick_at_s: float | None = None
+        # Whether the store's list has been read since the start.
+        self.listed = False
 
     @property
-    def count(self) -> int:
-        """Return the number of known hosts, with this one and absent ones."""
-        return 1 + len(self.records)
+    def count(self) -> int | None:
+        """Return the number of hosts, None until the store's list is read.
+
+        It includes this host and absent ones.
+        """
+        return 1 + len(self.records) if self.listed else None
 
     def serving(self) -> list[model.HostInstance]:
         """Return the other hosts that are neither absent nor leaving."""
@@ -75,6 +80,7 @@
         self, hosts: Iterable[model.HostInstance], *, now: float
     ) -> None:
         """Add or update the hosts in the store's list; none is removed."""
+        self.listed = True
         for host in hosts:
             if host.name == self.own.name:
                 continue
--- a/src/samphirelug/components/forwarding/forwarder.py
+++ b/src/samphirelug/components/forwarding/forwarder.py
@@ -59,7 +59,7 @@
         sender: model.AttemptSender,
         retries: retry_window.RetryWindow,
         log: request_log.RequestLog,
-        host_count: Callable[[], int],
+        host_count: Callable[[], int | None],
     ) -> None:
         self.timer = timer
         self.configuration = configuration
--- a/src/samphirelug/components/forwarding/retry_window.py
+++ b/src/samphirelug/components/forwarding/retry_window.py
@@ -21,14 +21,20 @@
         """Count a request for a service."""
         self._times_in_window(self.first_attempts, service, now).append(now)
 
-    def try_acquire(self, service: str, *, now: float, hosts: int) -> bool:
-        """Take one retry; return False if this host's share is used up."""
+    def try_acquire(
+        self, service: str, *, now: float, hosts: int | None
+    ) -> bool:
+        """Take one retry; return False if this host's share is used up.
+
+        Without the number of hosts there is no share of the slack.
+        """
         first_attempts = self._times_in_window(
             self.first_attempts, service, now
         )
         retries = self._times_in_window(self.retries, service, now)
+        slack = self.slack / hosts if hosts else 0.0
         allowed = const.USABLE_BUDGET_RATIO * (
-            self.ratio * len(first_attempts) + self.slack / max(1, hosts)
+            self.ratio * len(first_attempts) + slack
         )
         if len(retries) + 1 > allowed:
             return False
--- a/src/samphirelug/components/placement/cold.py
+++ b/src/samphirelug/components/placement/cold.py
@@ -32,13 +32,16 @@
         self.began_at_s = began_at_s
         self.sent = 0
         self.withheld = 0
-        # Fewest hosts that the server's rate was divided by.
+        # Fewest hosts that the server's rate was divided by; None if their
+        # number was never known.
         self.fewest_hosts: int | None = None
 
-    def count_host_share(self, hosts: int) -> None:
-        """Record the number of hosts that the rate is divided by."""
-        if self.fewest_hosts is None or hosts < self.fewest_hosts:
-            self.fewest_hosts = hosts
+    def record_decision(self, *, allowed: bool, hosts: int | None) -> None:
+        """Count a request that may be sent to the server or is withheld."""
+        if not allowed:
+            self.withheld += 1
+        if hosts is not None:
+            self.fewest_hosts = min(hosts, self.fewest_hosts or hosts)
 
 
 class ColdStartLimiter:
@@ -96,23 +99,31 @@
         *,
         now: float,
         requests_per_s: float,
-        hosts: int,
+        hosts: int | None,
     ) -> bool:
-        """Return whether this host may send a request to the server now."""
+        """Return whether this host may send a request to the server now.
+
+        It may not while it does not know the number of hosts: after a restart
+        of many hosts, each would take the whole rate.
+        """
+        allowed = hosts is not None and self._is_turn(
+            incarnation, now=now, interval_s=_interval_s(requests_per_s, hosts)
+        )
         period = self.periods.get(incarnation)
         if period is not None:
-            period.count_host_share(hosts)
-        interval_s = _interval_s(requests_per_s, hosts)
-        turn_s = _turn_s(interval_s)
+            period.record_decision(allowed=allowed, hosts=hosts)
+        return allowed
+
+    def _is_turn(
+        self, incarnation: Incarnation, *, now: float, interval_s: float
+    ) -> bool:
+        """Return whether it is this host's turn and the turn is unused."""
+        turn_s = min(MAX_TURN_S, interval_s / 2)
         offset_s = interval_s * self._turn_offset(incarnation)
         last_sent_at_s = self.last_sent_at_s.get(incarnation, float("-inf"))
-        if (now - offset_s) % interval_s < turn_s and (
+        return (now - offset_s) % interval_s < turn_s and (
             now - last_sent_at_s >= interval_s - turn_s
-        ):
-            return True
-        if period is not None:
-            period.withheld += 1
-        return False
+        )
 
     def record_request(self, incarnation: Incarnation, *, now: float) -> None:
         """Use up this host's turn at the server."""
@@ -134,8 +145,3 @@
 
 def _interval_s(requests_per_s: float, hosts: int) -> float:
     return max(1, hosts) / max(requests_per_s, MIN_REQUESTS_PER_S)
-
-
-def _turn_s(interval_s: float) -> float:
-    """Return the length of a host's turn within its interval."""
-    return min(MAX_TURN_S, interval_s / 2)
--- a/src/samphirelug/components/placement/placer.py
+++ b/src/samphirelug/components/placement/placer.py
@@ -49,8 +49,9 @@
     report_age_s: float | None
     # Remaining cold start of the server as known to this host; 0 if warm.
     cold_for_s: float
-    # Number of hosts that share the request rate of a cold server.
-    hosts: int
+    # Number of hosts that share the request rate of a cold server; None if
+    # not known yet.
+    hosts: int | None
 
 
 class Placer:
@@ -61,7 +62,7 @@
         *,
         registry: fleet_registry.ServerRegistry,
         host: str,
-        host_count: Callable[[], int],
+        host_count: Callable[[], int | None],
     ) -> None:
         self.registry = registry
         self.host_count = host_count
@@ -182,7 +183,7 @@
             self.retry_schedule.next_retry_after_s(
                 service.name,
                 priority=route.priority,
-                slots=slots / max(1, self.host_count()),
+                slots=slots / (self.host_count() or 1),
                 now=now,
             ),
         )
--- a/src/samphirelug/forwarding_host.py
+++ b/src/samphirelug/forwarding_host.py
@@ -239,7 +239,7 @@
     def _update_beliefs(self) -> None:
         self.metrics.set_belief("version", self.configuration.version)
         self.metrics.set_belief("servers", len(self.registry.servers))
-        self.metrics.set_belief("entry_hosts", self.roster.count)
+        self.metrics.set_belief("entry_hosts", self.roster.count or 0)
 
 
 class ReadyHandler(web.RequestHandler):
--- a/tests/components/fleet/test_roster.py
+++ b/tests/components/fleet/test_roster.py
@@ -122,3 +122,11 @@
         b"\x83\x00\x01\x02",
     ):
         assert io_datagrams.decode(data) is None
+
+
+def test_number_of_hosts_is_unknown_before_the_first_list() -> None:
+    """Guard against a host that takes itself for the only one at its start."""
+    roster = fleet_roster.HostRoster(own=make_host("h0"))
+    assert roster.count is None
+    roster.update_from_list([make_host("h0"), make_host("h1")], now=0.0)
+    assert roster.count == 2
--- a/tests/components/forwarding/test_retry_window.py
+++ b/tests/components/forwarding/test_retry_window.py
@@ -27,3 +27,14 @@
     assert first
     assert acquire_all(window, now=9.9) == 0
     assert acquire_all(window, now=10.1) == first
+
+
+def test_host_that_knows_no_others_takes_no_share_of_the_slack() -> None:
+    """Guard against hosts that each use the whole slack after a restart."""
+    window = retry_window.RetryWindow(ratio=0.2, slack=60.0, window_s=10.0)
+    for _ in range(10):
+        window.record_first_attempt("desk", now=0.0)
+    acquired = [
+        window.try_acquire("desk", now=0.0, hosts=None) for _ in range(3)
+    ]
+    assert acquired == [True, False, False]
--- a/tests/components/placement/test_cold_start.py
+++ b/tests/components/placement/test_cold_start.py
@@ -25,7 +25,7 @@
 
     def __init__(self) -> None:
         self.now = 1000.0
-        self.host_count = HOSTS
+        self.host_count: int | None = HOSTS
         self.registries = [
             fleet_registry.ServerRegistry() for _ in range(HOSTS)
         ]
@@ -141,6 +141,23 @@
     )
 
 
+def test_hosts_that_do_not_know_each_other_yet_spare_a_cold_server(
+    fleet: ColdFleet,
+) -> None:
+    """Guard against hosts that each use the whole rate after a restart."""
+    fleet.host_count = None
+    fleet.put_server(cold_for_s=3.0)
+    started_at_s = fleet.now
+    fleet.run(0.5)
+    fleet.host_count = HOSTS
+    fleet.run(2.4)
+    assert (
+        0
+        < fleet.max_in_a_second(since_s=started_at_s)
+        <= MAX_REQUESTS_IN_A_SECOND
+    )
+
+
 @pytest.mark.parametrize(
     "evacuated",
     [
