Give up answers that have no end

A server in trouble may send bytes without end, in a head or in a body, until the caller closes. One such server stopped a whole entry host.

Cause: the forwarding path limited the body of an answer only. Heads, trailers, chunk extensions, interim responses and answers to other requests were read until the deadline, and that deadline could not fire: a read returns at once while bytes are waiting, so that the loop around it never gave control back. A field value of any length is also copied anew by the parser with each read. All bodies together were not limited either.

Change: heads and framing of an exchange are limited to 64 KB and eight bytes for each byte of a body, bodies to 16 MB, and the answers that a host is receiving to 64 MB together, of which the largest is given up. Such attempts end as TOO_LARGE, the connection is reset, and the event loop runs between two reads.

--- a/src/samphirelug/components/http/const.py
+++ b/src/samphirelug/components/http/const.py
@@ -7,6 +7,15 @@
 READ_CHUNK_BYTES = 65536
 # Larger answers are rejected, as answers are held in memory.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# Limit of all answers that are being received at the same time. The smallest
+# hosts have 200 MB, of which the process itself uses about 70 MB.
+MAX_HELD_ANSWER_BYTES = 64 * 1024 * 1024
+# Limit of heads, trailers and framing in one exchange. Servers send heads of
+# at most a few kilobytes.
+MAX_FRAMING_BYTES = 64 * 1024
+# Framing allowed beyond that for each byte of a body. A chunk of one byte has
+# five bytes of framing.
+FRAMING_BYTES_PER_BODY_BYTE = 8
 # An idle connection is closed this long before the server would close it.
 KEEP_ALIVE_MARGIN_S = 1.0
 # Used if the server sends no timeout in a Keep-Alive header field.
--- a/src/samphirelug/components/http/io_pool.py
+++ b/src/samphirelug/components/http/io_pool.py
@@ -15,6 +15,7 @@
 from samphirelug.components.backend import model as backend_model
 from samphirelug.components.fleet import model as fleet_model
 from samphirelug.components.forwarding import model
+from samphirelug.components.http import answer_memory
 from samphirelug.components.http import const
 from samphirelug.components.http import io_connection
 from samphirelug.components.http import model as http_model
@@ -43,6 +44,9 @@
         self.idle_connections: dict[
             tuple[str, int], list[io_connection.ServerConnection]
         ] = {}
+        self.memory = answer_memory.AnswerMemory(
+            limit_bytes=const.MAX_HELD_ANSWER_BYTES
+        )
         # Set anew for the server, except Expect, which the listener handles.
         self.dropped_request_headers = frozenset(
             (
@@ -181,6 +185,12 @@
                 backend_model.FailureKind.TIMEOUT,
                 "no complete answer before the deadline",
             )
+        except response_parser.AnswerTooLargeError as error:
+            connection.reset()
+            return _failure(
+                backend_model.FailureKind.TOO_LARGE,
+                f"the server sent too much: {error}",
+            )
         except httptools.HttpParserError as error:
             connection.reset()
             return _failure(
@@ -194,6 +204,8 @@
                 "the connection closed before the answer was complete: "
                 f"{_describe_error(error)}",
             )
+        finally:
+            self.memory.release(parser)
         if _can_keep_alive(connection, parser, response):
             connection.keep_alive_s = _parse_keep_alive_s(response)
             self._release(connection, attempt)
@@ -222,6 +234,8 @@
                         "server": attempt.server.instance_id,
                     },
                 )
+            if parser.too_large:
+                raise response_parser.AnswerTooLargeError(parser.error)
             if parser.error:
                 raise httptools.HttpParserError(parser.error)
             try:
@@ -234,6 +248,11 @@
                     raise
             else:
                 parser.feed(data)
+                self.memory.update(parser)
+                if not parser.completed:
+                    # A read returns at once while bytes are waiting. A server
+                    # that sends without pause would block the event loop.
+                    await self.timer.sleep(0)
 
     def _classify(
         self,
--- a/src/samphirelug/components/http/response_parser.py
+++ b/src/samphirelug/components/http/response_parser.py
@@ -10,6 +10,10 @@
 FIRST_FINAL_STATUS = 200
 
 
+class AnswerTooLargeError(Exception):
+    """Report that a server sent more bytes than an answer may have."""
+
+
 class ParsedResponse:
     """Hold one response while it is received."""
 
@@ -18,7 +22,6 @@
         self.reason = ""
         self.headers: list[tuple[str, str]] = []
         self.chunks: list[bytes] = []
-        self.body_bytes = 0
         self.has_headers = False
         self.keep_alive = False
 
@@ -49,7 +52,8 @@
 
     A server may send answers to earlier requests before the expected one, and
     one read may return both, so bytes after a complete response are parsed
-    too.
+    too. A server in trouble may send bytes without end, so that bodies and
+    what surrounds them are limited.
     """
 
     def __init__(self, *, is_head: bool) -> None:
@@ -59,15 +63,36 @@
         self.current: ParsedResponse | None = None
         # Reason why parsing failed, else empty. Later bytes are ignored.
         self.error = ""
+        # Whether it failed because of a limit.
+        self.too_large = False
+        self.received_bytes = 0
+        # The part of the received bytes that belongs to bodies.
+        self.body_bytes = 0
 
     def feed(self, data: bytes) -> None:
         """Parse bytes received from the connection."""
         if self.error:
             return
+        self.received_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self.error = str(error) or type(error).__name__
+            self.error = self.error or str(error) or type(error).__name__
+            return
+        framing_bytes = self.received_bytes - self.body_bytes
+        if framing_bytes > (
+            const.MAX_FRAMING_BYTES
+            + const.FRAMING_BYTES_PER_BODY_BYTE * self.body_bytes
+        ):
+            self.reject(f"{framing_bytes} bytes of heads and framing")
+
+    def reject(self, reason: str) -> None:
+        """Discard the current response because of a limit."""
+        if self.error:
+            return
+        self.error = reason
+        self.too_large = True
+        self.current = None
 
     def feed_eof(self) -> bool:
         """Handle an orderly close; return whether it ends a response."""
@@ -89,23 +114,26 @@
 
     def on_message_begin(self) -> None:
         """Begin a response."""
-        self.current = ParsedResponse()
+        self.current = None if self.error else ParsedResponse()
 
     def on_status(self, status: bytes) -> None:
         """Add a part of the reason phrase."""
-        assert self.current is not None
+        if self.current is None:
+            return
         self.current.reason += status.decode("latin-1")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header field."""
-        assert self.current is not None
+        if self.current is None:
+            return
         self.current.headers.append(
             (name.decode("latin-1"), value.decode("latin-1"))
         )
 
     def on_headers_complete(self) -> None:
         """Record the status; a final response to HEAD is complete now."""
-        assert self.current is not None
+        if self.current is None:
+            return
         self.current.has_headers = True
         self.current.status = int(self.parser.get_status_code())
         if self.is_head and self.current.status >= FIRST_FINAL_STATUS:
@@ -116,11 +144,10 @@
         """Add a part of the body, within the limit."""
         if self.current is None:
             return
-        self.current.body_bytes += len(body)
-        if self.current.body_bytes > const.MAX_ANSWER_BYTES:
-            raise httptools.HttpParserError(
-                "the response body exceeds the size limit"
-            )
+        self.body_bytes += len(body)
+        if self.body_bytes > const.MAX_ANSWER_BYTES:
+            self.reject(f"a body of more than {const.MAX_ANSWER_BYTES} bytes")
+            return
         self.current.chunks.append(body)
 
     def on_message_complete(self) -> None:
--- a/tests/components/backend/test_io_client.py
+++ b/tests/components/backend/test_io_client.py
@@ -13,6 +13,7 @@
 from samphirelug.components.backend import model
 from samphirelug.components.backend.model import FailureKind
 from samphirelug.helpers import timer
+from tests.components.backend import endless_server
 from tests.components.backend import raw_server
 
 OK_HEAD = b"HTTP/1.1 200 OK\r\n"
@@ -406,3 +407,54 @@
     assert traffic.received_bytes == len(answer)
     head = b"POST /claims?x=1 HTTP/1.1\r\n\r\n"
     assert traffic.sent_bytes > len(head) + len(b"claim")
+
+
+@pytest.mark.parametrize(
+    ("beginning", "block"),
+    [
+        pytest.param(OK_HEAD + b"X-A: ", b"a" * 65536, id="header-value"),
+        pytest.param(OK_HEAD, b"X-A: b\r\n" * 8192, id="header-fields"),
+        pytest.param(b"HTTP/1.1 200 ", b"a" * 65536, id="reason"),
+        pytest.param(
+            b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 2000, id="interim"
+        ),
+        pytest.param(
+            OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n1;",
+            b"a" * 65536,
+            id="chunk-extension",
+        ),
+        pytest.param(
+            OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n0\r\nX-A: ",
+            b"a" * 65536,
+            id="trailer",
+        ),
+        pytest.param(
+            OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+            b"1\r\nx\r\n" * 8192,
+            id="chunks",
+        ),
+        pytest.param(
+            OK_HEAD + b"Content-Length: 99999999999\r\n\r\n",
+            b"a" * 65536,
+            id="with-length",
+        ),
+        pytest.param(b"", b"\0" * 65536, id="no-answer"),
+    ],
+)
+def test_endless_answer_ends_the_attempt(
+    beginning: bytes, block: bytes
+) -> None:
+    """Guard against reading from a server in trouble until the deadline."""
+    server = endless_server.EndlessServer(beginning=beginning, block=block)
+    try:
+        result = asyncio.run(
+            asyncio.wait_for(send(server.port, timeout_s=10.0), 30)
+        )
+    finally:
+        server.stop()
+    assert result.failure().kind in (
+        FailureKind.INCOMPLETE,
+        FailureKind.RESET,
+        FailureKind.TOO_LARGE,
+    )
+    assert server.sent_bytes < endless_server.SOCKET_BUFFER_BYTES
