Limit callers' heads that have no end and let others run between reads

Cause: the size of a field was checked when it was complete, so that one without an end grew, copied anew with each read, until the header timeout; and that timeout could not fire while bytes were waiting, since neither the reading nor the discarding loop returned to the event loop.

Change: bytes without a part of a body or a complete request are limited to the configured header size and one read; both loops return to the event loop between reads, except after a complete request.

--- a/src/samphirelug/components/http/io_pipeline.py
+++ b/src/samphirelug/components/http/io_pipeline.py
@@ -103,13 +103,12 @@
     async def _read_requests(self) -> None:
         while True:
             await self.can_read.wait()
-            data = await self.stream.read_bytes(
-                const.READ_CHUNK_BYTES, partial=True
-            )
+            data = await self._read()
             if self.closing:
                 # Discard the data. Closing the socket with unread data would
                 # reset the connection, and the caller could lose the last
                 # response.
+                await self._let_others_run()
                 continue
             try:
                 self.parser.feed(data)
@@ -118,6 +117,8 @@
             if self.parser.expects_continue and not self.pending:
                 self.parser.expects_continue = False
                 self.stream.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            if not self.parser.completed:
+                await self._let_others_run()
             for message, keep_alive in self.parser.completed:
                 self._enqueue(message, keep_alive)
             self.parser.completed.clear()
@@ -125,9 +126,22 @@
                 self.writer_wakeup.set()
                 # Discard further data; raises when the caller disconnects.
                 while True:
-                    await self.stream.read_bytes(
-                        const.READ_CHUNK_BYTES, partial=True
-                    )
+                    await self._read()
+                    await self._let_others_run()
+
+    async def _read(self) -> bytes:
+        data: bytes = await self.stream.read_bytes(
+            const.READ_CHUNK_BYTES, partial=True
+        )
+        return data
+
+    async def _let_others_run(self) -> None:
+        """Return to the event loop between two reads.
+
+        A read returns at once while bytes are waiting, so that a caller that
+        sends without pause would block the event loop.
+        """
+        await self.listener.timer.sleep(0)
 
     def _enqueue(
         self, message: request_parser.CallerMessage, keep_alive: bool
--- a/src/samphirelug/components/http/request_parser.py
+++ b/src/samphirelug/components/http/request_parser.py
@@ -5,6 +5,7 @@
 
 import httptools
 
+from samphirelug.components.http import const
 from samphirelug.components.routing import model as routing_model
 from samphirelug.helpers import timer as timer_helper
 
@@ -53,10 +54,22 @@
         self.expects_continue = False
         # Set while a request is only partly received.
         self.started_at_s: float | None = None
+        # Bytes received since the last part of a body or complete request.
+        self.framing_bytes = 0
         self._reset()
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes; raise RequestError to reject a request."""
+        self.framing_bytes += len(data)
+        self._parse(data)
+        # The HTTP parser reports a field only when it is complete, so that
+        # one without an end is not counted otherwise.
+        if self.framing_bytes > (
+            self.limits().max_header_bytes + const.READ_CHUNK_BYTES
+        ):
+            raise RequestError(status=431)
+
+    def _parse(self, data: bytes) -> None:
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -103,6 +116,7 @@
     def on_body(self, body: bytes) -> None:
         """Add a part of the body, within the limit."""
         self.expects_continue = False
+        self.framing_bytes = 0
         self.body_bytes += len(body)
         if self.body_bytes > self.limits().max_body_bytes:
             raise RequestError(status=413)
@@ -110,6 +124,7 @@
 
     def on_message_complete(self) -> None:
         """Add the complete request to the list."""
+        self.framing_bytes = 0
         message = CallerMessage(
             method=self.parser.get_method().decode("latin-1"),
             target=self.target.decode("latin-1"),
