--- a/src/samphirelug/components/commands/explain.py
+++ b/src/samphirelug/components/commands/explain.py
@@ -122,13 +122,23 @@
             f"  attempt {number}: {attempt.get('server')} in"
             f" {attempt.get('zone')}, choice {attempt.get('choice')},"
             f" estimated to have {attempt.get('load')} requests for"
-            f" {attempt.get('slots')} slots ({load_age}):"
+            f" {attempt.get('slots')} slots ({load_age}){_cold(attempt)}:"
             f" {attempt.get('outcome')} after {attempt.get('took_ms')} ms"
             f" {attempt.get('detail', '')}".rstrip()
         )
     return report
 
 
+def _cold(attempt: dict[str, Any]) -> str:
+    """Return what the host knew of the server's cold start, if any."""
+    if "cold_for_ms" not in attempt:
+        return ""
+    return (
+        f", cold for {attempt['cold_for_ms']} ms, its rate shared by"
+        f" {attempt.get('hosts')} hosts"
+    )
+
+
 def _preceding_events(
     earlier_lines: Sequence[LogLine], line: LogLine, window_s: float
 ) -> list[str]:
--- a/tests/components/commands/test_explain.py
+++ b/tests/components/commands/test_explain.py
@@ -93,6 +93,15 @@
     assert "configuration 6 in force for 2.5 s" in report
 
 
+def test_attempt_at_a_cold_server_is_reported_as_such() -> None:
+    """Guard against a report that hides which share the host assumed."""
+    attempt = {**ATTEMPT, "cold_for_ms": 1200, "hosts": 8}
+    line = log_line(1, "request ended", request_id="r1", attempts=[attempt])
+    log = list(explain.parse([line]))
+    report = "\n".join(explain.describe_request(log, "r1", window_s=10.0))
+    assert "cold for 1200 ms, its rate shared by 8 hosts" in report
+
+
 def test_only_events_of_the_same_host_and_servers_are_reported() -> None:
     """Guard against causes that the host could not know of."""
     report = describe_request("r1")
