Tell other entry hosts of evacuated zones

Cause: three of eight hosts could not reach the store from 4 to 10 s. They never learned of the evacuation from 5 to 8 s, kept sending to the zone, and sent 11 of the logged attempts to one server in the second after it had become cold. A host without the store had no other source for evacuations.

Change: each beat to another host carries the evacuated zones with the store's revision as of which they were read. A host adopts a newer state, and its watch continues from that revision. No more datagrams are sent than before.

--- a/src/samphirelug/components/fleet/consumers.py
+++ b/src/samphirelug/components/fleet/consumers.py
@@ -165,7 +165,9 @@
         self._set_evacuated(self.registry.evacuated_zones - {name})
 
     def _set_evacuated(self, zones: frozenset[str]) -> None:
-        self.registry.set_evacuated(zones, now=self.timer.monotonic())
+        self.registry.set_evacuated(
+            zones, now=self.timer.monotonic(), source=SOURCE
+        )
 
 
 def _log_malformed(stored: store_model.StoredObject, detail: str) -> None:
--- a/src/samphirelug/components/fleet/io_datagrams.py
+++ b/src/samphirelug/components/fleet/io_datagrams.py
@@ -23,18 +23,28 @@
 
 def encode(notice: fleet_roster.Notice) -> bytes:
     """Return the datagram of a notice."""
-    return cbor2.dumps(
-        [KINDS.index(notice.kind), notice.name, notice.incarnation]
-    )
+    fields: list[object] = [
+        KINDS.index(notice.kind),
+        notice.name,
+        notice.incarnation,
+    ]
+    if notice.evacuations is not None:
+        fields += [
+            notice.evacuations.revision,
+            sorted(notice.evacuations.zones),
+        ]
+    return cbor2.dumps(fields)
 
 
 def decode(data: bytes) -> fleet_roster.Notice | None:
     """Return the notice of a datagram, None if it is malformed."""
     try:
-        kind, name, incarnation = cbor2.loads(data)
+        kind, name, incarnation, *rest = cbor2.loads(data)
         if not isinstance(name, str) or not isinstance(incarnation, str):
             raise ValueError("name or incarnation is not a string")
-        return fleet_roster.Notice(KINDS[kind], name, incarnation)
+        return fleet_roster.Notice(
+            KINDS[kind], name, incarnation, _decode_evacuations(rest)
+        )
     except (cbor2.CBORError, ValueError, TypeError, IndexError) as error:
         _LOGGER.warning(
             "ignoring malformed datagram", extra={"detail": str(error)[:200]}
@@ -42,6 +52,17 @@
         return None
 
 
+def _decode_evacuations(fields: list[object]) -> model.Evacuations | None:
+    if not fields:
+        return None
+    revision, zones = fields
+    if not isinstance(revision, int) or not isinstance(zones, list):
+        raise ValueError("revision or zones have another type")
+    if not all(isinstance(zone, str) for zone in zones):
+        raise ValueError("a zone is not a string")
+    return model.Evacuations(revision, frozenset(zones))
+
+
 class NoticeProtocol(asyncio.DatagramProtocol):
     """Send the roster's notices and pass received ones to it."""
 
--- a/src/samphirelug/components/fleet/model.py
+++ b/src/samphirelug/components/fleet/model.py
@@ -29,6 +29,13 @@
         return (self.instance_id, self.started_unix_ms)
 
 
+class Evacuations(NamedTuple):
+    """Hold the evacuated zones as of a revision of the store."""
+
+    revision: int
+    zones: frozenset[str]
+
+
 class HostInstance(NamedTuple):
     """Describe one incarnation of an entry host.
 
--- a/src/samphirelug/components/fleet/registry.py
+++ b/src/samphirelug/components/fleet/registry.py
@@ -100,7 +100,9 @@
             if now >= until_s:
                 self._remove(self.servers[instance_id], "grace period expired")
 
-    def set_evacuated(self, zones: frozenset[str], *, now: float) -> None:
+    def set_evacuated(
+        self, zones: frozenset[str], *, now: float, source: str
+    ) -> None:
         """Set the zones whose servers get no new requests."""
         if zones == self.evacuated_zones:
             return
@@ -109,6 +111,7 @@
             extra={
                 "evacuated": sorted(zones),
                 "previously": sorted(self.evacuated_zones),
+                "source": source,
             },
         )
         for zone in self.evacuated_zones - zones:
--- a/src/samphirelug/components/fleet/roster.py
+++ b/src/samphirelug/components/fleet/roster.py
@@ -12,6 +12,7 @@
 import xxhash
 
 from samphirelug.components.fleet import const
+from samphirelug.components.fleet import evacuations as fleet_evacuations
 from samphirelug.components.fleet import model
 
 _LOGGER = logging.getLogger(__name__)
@@ -35,6 +36,8 @@
     # Name of the host that the notice concerns.
     name: str
     incarnation: str
+    # What the sender of a beat knows; None if it has not read the store.
+    evacuations: model.Evacuations | None = None
 
 
 class HostRecord:
@@ -59,6 +62,8 @@
         self.last_tick_at_s: float | None = None
         # Whether the store's list has been read since the start.
         self.listed = False
+        # Set when the followers of the store exist.
+        self.evacuations: fleet_evacuations.EvacuationExchange | None = None
 
     @property
     def count(self) -> int | None:
@@ -186,6 +191,8 @@
             answers.append(OutgoingNotice(beat, (record.host,)))
         else:
             record.monitored = True
+            if notice.evacuations is not None and self.evacuations is not None:
+                self.evacuations.receive(notice.evacuations, host=notice.name)
         if record.absent:
             present = Notice(const.PRESENT, notice.name, notice.incarnation)
             answers.append(OutgoingNotice(present, tuple(self.serving())))
@@ -196,7 +203,10 @@
         return [record.host for record in self.records.values()]
 
     def _own_notice(self, kind: str) -> Notice:
-        return Notice(kind, self.own.name, self.own.incarnation)
+        evacuations = None
+        if kind == const.BEAT and self.evacuations is not None:
+            evacuations = self.evacuations.current()
+        return Notice(kind, self.own.name, self.own.incarnation, evacuations)
 
     def _mark_absent(
         self, record: HostRecord, reason: str, silent_s: float
--- a/src/samphirelug/forwarding_host.py
+++ b/src/samphirelug/forwarding_host.py
@@ -12,6 +12,7 @@
 from samphirelug.components.fleet import consumers
 from samphirelug.components.fleet import decoder as fleet_decoder
 from samphirelug.components.fleet import enrolment
+from samphirelug.components.fleet import evacuations as fleet_evacuations
 from samphirelug.components.fleet import io_datagrams
 from samphirelug.components.fleet import model as fleet_model
 from samphirelug.components.fleet import registry as fleet_registry
@@ -113,6 +114,11 @@
             timer=timer,
         )
         self.followers = self._build_followers(feed, decoder)
+        self.roster.evacuations = fleet_evacuations.EvacuationExchange(
+            follower=self.followers[store_feed.ObjectKind.EVACUATIONS],
+            registry=self.registry,
+            timer=timer,
+        )
         self.stopping = asyncio.Event()
         self.tasks: list[asyncio.Task[None]] = []
 
@@ -146,7 +152,8 @@
             interval_s=BELIEF_INTERVAL_S, callback=self._update_beliefs
         )
         self.tasks = [
-            asyncio.ensure_future(item.run()) for item in self.followers
+            asyncio.ensure_future(item.run())
+            for item in self.followers.values()
         ]
         self.tasks.append(asyncio.ensure_future(self.enrolment.run()))
         _LOGGER.info(
@@ -199,7 +206,7 @@
         self,
         feed: store_feed.ObjectFeed,
         decoder: fleet_decoder.ObjectDecoder,
-    ) -> list[follower.ObjectFollower]:
+    ) -> dict[store_feed.ObjectKind, follower.ObjectFollower]:
         kinds: dict[store_feed.ObjectKind, follower.ObjectConsumer] = {
             store_feed.ObjectKind.CONFIGURATION: (
                 consumers.ConfigurationConsumer(
@@ -221,8 +228,8 @@
             ),
         }
         availability = store_availability.StoreAvailability(timer=self.timer)
-        return [
-            follower.ObjectFollower(
+        return {
+            kind: follower.ObjectFollower(
                 kind=kind,
                 feed=feed,
                 consumer=consumer,
@@ -234,7 +241,7 @@
                 ),
             )
             for kind, consumer in kinds.items()
-        ]
+        }
 
     def _update_beliefs(self) -> None:
         self.metrics.set_belief("version", self.configuration.version)
--- a/tests/components/fleet/test_registry.py
+++ b/tests/components/fleet/test_registry.py
@@ -57,9 +57,9 @@
     """Guard against new requests to a zone that is being evacuated."""
     registry = make_registry("s0")
     registry.put(build.server("s1", zone="b1", region="b"), source="test")
-    registry.set_evacuated(frozenset({"b1"}), now=1.0)
+    registry.set_evacuated(frozenset({"b1"}), now=1.0, source="test")
     assert usable_ids(registry) == {"s0"}
-    registry.set_evacuated(frozenset(), now=2.0)
+    registry.set_evacuated(frozenset(), now=2.0, source="test")
     assert usable_ids(registry) == {"s0", "s1"}
 
 
--- a/tests/components/placement/test_cold_start.py
+++ b/tests/components/placement/test_cold_start.py
@@ -58,7 +58,9 @@
     def set_evacuated(self, *zones: str) -> None:
         """Tell all hosts which zones are evacuated."""
         for registry in self.registries:
-            registry.set_evacuated(frozenset(zones), now=self.now)
+            registry.set_evacuated(
+                frozenset(zones), now=self.now, source="test"
+            )
 
     def run(self, seconds: float) -> None:
         """Let each host send whatever its placer accepts."""
