Limit the requests of a host that hears from nobody

Cause: a host that is cut off from the store and from all other hosts, but not from callers and servers, misses an evacuation, and sends its full load to servers that have become cold meanwhile.

Change: such a host sends each server at most half of the rate of a cold one. It is isolated when the store is lost and no other host has been heard for 1.6 s, so an outage of the store alone does not limit anything.

What remains: the loss of the store shows up to three seconds after a silent cut, so that a shorter evacuation can still be missed.

--- a/src/samphirelug/components/fleet/const.py
+++ b/src/samphirelug/components/fleet/const.py
@@ -26,6 +26,9 @@
 # Notices other than BEAT and ASK are sent a second time after this delay,
 # since datagrams may be lost.
 RESEND_DELAY_S = 0.3
+# A host that hears from no other host for this long is cut off from them: two
+# beats of each of two hosts are missing.
+CUT_OFF_AFTER_S = 1.6
 # Interval between two reads of the list in the store, which has new hosts.
 LIST_INTERVAL_S = 2.0
 KIND = "entry-hosts"
--- a/src/samphirelug/components/fleet/roster.py
+++ b/src/samphirelug/components/fleet/roster.py
@@ -62,6 +62,8 @@
         self.last_tick_at_s: float | None = None
         # Whether the store's list has been read since the start.
         self.listed = False
+        # Time of the newest notice of another host.
+        self.heard_at_s = 0.0
         # Set when the followers of the store exist.
         self.evacuations: fleet_evacuations.EvacuationExchange | None = None
 
@@ -73,6 +75,13 @@
         """
         return 1 + len(self.records) if self.listed else None
 
+    def is_cut_off(self, *, now: float) -> bool:
+        """Return whether no other host is heard although there are some."""
+        return (
+            bool(self.records)
+            and now - self.heard_at_s > const.CUT_OFF_AFTER_S
+        )
+
     def serving(self) -> list[model.HostInstance]:
         """Return the other hosts that are neither absent nor leaving."""
         return [
@@ -85,7 +94,9 @@
         self, hosts: Iterable[model.HostInstance], *, now: float
     ) -> None:
         """Add or update the hosts in the store's list; none is removed."""
-        self.listed = True
+        if not self.listed:
+            self.listed = True
+            self.heard_at_s = now
         for host in hosts:
             if host.name == self.own.name:
                 continue
@@ -127,6 +138,7 @@
             # other hosts only appear to be silent.
             for record in self.records.values():
                 record.heard_at_s = max(record.heard_at_s, now)
+            self.heard_at_s = now
         self.last_tick_at_s = now
         due = [OutgoingNotice(self._own_notice(const.BEAT), self.monitors())]
         for record in self.records.values():
@@ -166,6 +178,7 @@
                 # has reported it as absent to all hosts.
                 return [self.start_notice()]
             return []
+        self.heard_at_s = now
         record = self.records.get(notice.name)
         if record is None:
             return []
--- a/src/samphirelug/components/placement/cold.py
+++ b/src/samphirelug/components/placement/cold.py
@@ -8,7 +8,9 @@
 at the same moment.
 """
 
+import collections
 import logging
+import math
 
 import xxhash
 
@@ -23,6 +25,9 @@
 # its start are added to those whose turn begins during it: with half a second
 # these are 1.5 times the rate together.
 MAX_TURN_S = 0.5
+# Share of a cold server's rate that an isolated host uses on its own. A few
+# such hosts and the turns of all others stay near the rate.
+ISOLATED_RATE_RATIO = 0.5
 
 
 class ColdPeriod:
@@ -143,5 +148,44 @@
         return xxhash.xxh32_intdigest(hash_input.encode()) / (1 << 32)
 
 
+class IsolatedHostLimiter:
+    """Limit this host's requests to each server while it is isolated.
+
+    A host that hears neither from the store nor from other hosts does not know
+    which servers have become cold.
+    """
+
+    def __init__(self) -> None:
+        # Times of the newest requests, at most as many as one second allows.
+        self.sent_at_s: dict[Incarnation, collections.deque[float]] = {}
+
+    def allows(
+        self, incarnation: Incarnation, *, now: float, requests_per_s: float
+    ) -> bool:
+        """Return whether this host may send a request to the server now."""
+        times = self._times(incarnation, requests_per_s)
+        return len(times) < (times.maxlen or 0) or now - times[0] >= 1.0
+
+    def record_request(
+        self, incarnation: Incarnation, *, now: float, requests_per_s: float
+    ) -> None:
+        """Count a request to the server."""
+        self._times(incarnation, requests_per_s).append(now)
+
+    def remove(self, incarnation: Incarnation) -> None:
+        """Remove the state of an incarnation that has left."""
+        self.sent_at_s.pop(incarnation, None)
+
+    def _times(
+        self, incarnation: Incarnation, requests_per_s: float
+    ) -> collections.deque[float]:
+        size = math.ceil(requests_per_s * ISOLATED_RATE_RATIO)
+        times = self.sent_at_s.get(incarnation)
+        if times is None or times.maxlen != size:
+            times = collections.deque(times or (), maxlen=size)
+            self.sent_at_s[incarnation] = times
+        return times
+
+
 def _interval_s(requests_per_s: float, hosts: int) -> float:
     return max(1, hosts) / max(requests_per_s, MIN_REQUESTS_PER_S)
--- a/src/samphirelug/components/placement/placer.py
+++ b/src/samphirelug/components/placement/placer.py
@@ -63,13 +63,16 @@
         registry: fleet_registry.ServerRegistry,
         host: str,
         host_count: Callable[[], int | None],
+        is_isolated: Callable[[], bool],
     ) -> None:
         self.registry = registry
         self.host_count = host_count
+        self.is_isolated = is_isolated
         self.ranking = ranking.ServerRanking(registry=registry)
         self.loads = placement_load.LoadTracker()
         self.retry_schedule = retry_after.RetryAfterSchedule()
         self.cold_start_limiter = cold.ColdStartLimiter(host=host)
+        self.isolated_limiter = cold.IsolatedHostLimiter()
         registry.on_removed.append(self._remove)
 
     def choose(
@@ -151,7 +154,11 @@
         """Return whether the server is warm or this host has its turn."""
         if not cold_for_s:
             self.cold_start_limiter.end(server, now=now)
-            return True
+            return not self.is_isolated() or self.isolated_limiter.allows(
+                server.incarnation,
+                now=now,
+                requests_per_s=service.cold_requests_per_s,
+            )
         self.cold_start_limiter.begin(
             server, now=now, cold_for_s=cold_for_s, in_flight=load.in_flight
         )
@@ -199,6 +206,12 @@
         self.loads.get_or_create(server.incarnation).in_flight += 1
         if self._cold_for_s(server, service, now=now):
             self.cold_start_limiter.record_request(server.incarnation, now=now)
+        elif self.is_isolated():
+            self.isolated_limiter.record_request(
+                server.incarnation,
+                now=now,
+                requests_per_s=service.cold_requests_per_s,
+            )
 
     def record_ended(self, server: fleet_model.ServerInstance) -> None:
         """Stop counting a request that has ended at the server."""
@@ -258,6 +271,7 @@
     def _remove(self, server: fleet_model.ServerInstance) -> None:
         self.loads.remove(server.incarnation)
         self.cold_start_limiter.remove(server.incarnation)
+        self.isolated_limiter.remove(server.incarnation)
 
 
 def _refuse_unusable(servers: Collection[object]) -> result_codes.Refusal:
--- a/src/samphirelug/forwarding_host.py
+++ b/src/samphirelug/forwarding_host.py
@@ -14,6 +14,7 @@
 from samphirelug.components.fleet import enrolment
 from samphirelug.components.fleet import evacuations as fleet_evacuations
 from samphirelug.components.fleet import io_datagrams
+from samphirelug.components.fleet import isolation
 from samphirelug.components.fleet import model as fleet_model
 from samphirelug.components.fleet import registry as fleet_registry
 from samphirelug.components.fleet import roster as fleet_roster
@@ -86,10 +87,15 @@
         self.enrolment = enrolment.Enrolment(
             feed=feed, protocol=self.notice_protocol, timer=timer
         )
+        self.availability = store_availability.StoreAvailability(timer=timer)
+        self.isolation = isolation.IsolationDetector(
+            availability=self.availability, roster=self.roster, timer=timer
+        )
         self.placer = placer.Placer(
             registry=self.registry,
             host=settings.name,
             host_count=lambda: self.roster.count,
+            is_isolated=self.isolation.is_isolated,
         )
         self.sender = io_pool.PooledSender(timer=timer, names=names)
         self.registry.on_removed.append(self.sender.close_idle)
@@ -227,13 +233,12 @@
                 SERVER_PAUSE_FRACTION * self.settings.drain_s
             ),
         }
-        availability = store_availability.StoreAvailability(timer=self.timer)
         return {
             kind: follower.ObjectFollower(
                 kind=kind,
                 feed=feed,
                 consumer=consumer,
-                availability=availability,
+                availability=self.availability,
                 timer=self.timer,
                 rng=random.Random(),
                 pause_after_change_s=pauses_s.get(
--- a/standins/simulation/placement.py
+++ b/standins/simulation/placement.py
@@ -165,7 +165,10 @@
             )
         self.placers = [
             placement_placer.Placer(
-                registry=registry, host=f"h{number}", host_count=lambda: hosts
+                registry=registry,
+                host=f"h{number}",
+                host_count=lambda: hosts,
+                is_isolated=lambda: False,
             )
             for number in range(hosts)
         ]
--- a/tests/components/forwarding/test_forwarder.py
+++ b/tests/components/forwarding/test_forwarder.py
@@ -88,7 +88,10 @@
             timer=self.timer,
             configuration=self.configuration,
             placer=placer.Placer(
-                registry=registry, host="h1", host_count=lambda: 1
+                registry=registry,
+                host="h1",
+                host_count=lambda: 1,
+                is_isolated=lambda: False,
             ),
             sender=self.sender,
             retries=retry_window.RetryWindow(
--- a/tests/components/placement/test_cold_start.py
+++ b/tests/components/placement/test_cold_start.py
@@ -26,6 +26,8 @@
     def __init__(self) -> None:
         self.now = 1000.0
         self.host_count: int | None = HOSTS
+        # Numbers of the hosts that learn nothing and know that.
+        self.isolated: frozenset[int] = frozenset()
         self.registries = [
             fleet_registry.ServerRegistry() for _ in range(HOSTS)
         ]
@@ -41,10 +43,11 @@
             registry=self.registries[number],
             host=f"h{number}",
             host_count=lambda: self.host_count,
+            is_isolated=lambda: number in self.isolated,
         )
 
     def put_server(self, *, cold_for_s: float = 0.0) -> None:
-        """Tell all hosts about the server and the rest of its cold start."""
+        """Tell the hosts about the server and the rest of its cold start."""
         server = build.server(
             "s0",
             zone=ZONE,
@@ -52,12 +55,20 @@
             slots=6,
             cold_until_s=self.now + cold_for_s if cold_for_s else 0.0,
         )
-        for registry in self.registries:
+        for registry in self.informed_registries():
             registry.put(server, source="test")
 
+    def informed_registries(self) -> list[fleet_registry.ServerRegistry]:
+        """Return what the hosts know that are not isolated."""
+        return [
+            registry
+            for number, registry in enumerate(self.registries)
+            if number not in self.isolated
+        ]
+
     def set_evacuated(self, *zones: str) -> None:
-        """Tell all hosts which zones are evacuated."""
-        for registry in self.registries:
+        """Tell the hosts which zones are evacuated."""
+        for registry in self.informed_registries():
             registry.set_evacuated(
                 frozenset(zones), now=self.now, source="test"
             )
@@ -183,3 +194,20 @@
     assert (
         fleet.max_in_a_second(since_s=cold_from_s) <= MAX_REQUESTS_IN_A_SECOND
     )
+
+
+@pytest.mark.parametrize("isolated", [{0}, {2, 7}])
+def test_isolated_hosts_do_not_flood_a_server_that_turned_cold(
+    fleet: ColdFleet, isolated: set[int]
+) -> None:
+    """Guard against full load from hosts that missed an evacuation."""
+    fleet.isolated = frozenset(isolated)
+    fleet.set_evacuated(ZONE)
+    fleet.run(3.0)
+    cold_from_s = fleet.now
+    fleet.run(0.7)
+    fleet.set_evacuated()
+    fleet.run(2.0)
+    assert (
+        fleet.max_in_a_second(since_s=cold_from_s) <= MAX_REQUESTS_IN_A_SECOND
+    )
--- a/tests/components/placement/test_placer.py
+++ b/tests/components/placement/test_placer.py
@@ -29,7 +29,10 @@
     for server in servers:
         registry.put(server, source="test")
     return placer.Placer(
-        registry=registry, host="h1", host_count=lambda: hosts
+        registry=registry,
+        host="h1",
+        host_count=lambda: hosts,
+        is_isolated=lambda: False,
     )
 
 
