Do not count an answer again that was given up for its size

Cause: found by reading the change. An answer that was given up in favour of others was added to the total again when its reader woke up, until its attempt ended a moment later. Each skipped answer to another request was logged, which an endless sender could use to fill the log.

Change: an answer given up is not counted; the first skipped answer of an exchange is logged. The placer's check of cold and possibly cold servers has a name that covers both, and notices about this host count as heard.

--- a/src/samphirelug/components/fleet/roster.py
+++ b/src/samphirelug/components/fleet/roster.py
@@ -172,13 +172,13 @@
 
     def receive(self, notice: Notice, *, now: float) -> list[OutgoingNotice]:
         """Apply a received notice and return the notices to send for it."""
+        self.heard_at_s = now
         if notice.name == self.own.name:
             if notice.kind == const.ABSENT:
                 # A monitor received no beats from this host for a while and
                 # has reported it as absent to all hosts.
                 return [self.start_notice()]
             return []
-        self.heard_at_s = now
         record = self.records.get(notice.name)
         if record is None:
             return []
--- a/src/samphirelug/components/http/answer_memory.py
+++ b/src/samphirelug/components/http/answer_memory.py
@@ -18,6 +18,9 @@
 
     def update(self, parser: response_parser.ResponseParser) -> None:
         """Record the size of an answer that has grown."""
+        if parser.too_large:
+            self.release(parser)
+            return
         self.total_bytes += parser.body_bytes - self.held_bytes.get(parser, 0)
         self.held_bytes[parser] = parser.body_bytes
         if self.total_bytes <= self.limit_bytes:
--- a/src/samphirelug/components/http/io_pool.py
+++ b/src/samphirelug/components/http/io_pool.py
@@ -220,12 +220,16 @@
         attempt: model.Attempt,
     ) -> response_parser.ParsedResponse:
         """Return the answer to this request and skip answers to others."""
+        skipped_any = False
         while True:
             while parser.completed:
                 response = parser.completed.popleft()
                 answered_id = response.get(self.names.request_id)
                 if answered_id in (None, attempt.request.request_id):
                     return response
+                if skipped_any:
+                    continue
+                skipped_any = True
                 _LOGGER.info(
                     "skipped an answer to another request",
                     extra={
--- a/src/samphirelug/components/placement/placer.py
+++ b/src/samphirelug/components/placement/placer.py
@@ -100,7 +100,7 @@
             if now < load.paused_until_s:
                 continue
             cold_for_s = self._cold_for_s(server, service, now=now)
-            if not self._allows_cold_start(
+            if not self._may_be_sent(
                 server, service, load, now=now, cold_for_s=cold_for_s
             ):
                 continue
@@ -142,7 +142,7 @@
             )
         return max(0.0, cold_until_s - now)
 
-    def _allows_cold_start(
+    def _may_be_sent(
         self,
         server: fleet_model.ServerInstance,
         service: routing_model.Service,
@@ -151,7 +151,10 @@
         now: float,
         cold_for_s: float,
     ) -> bool:
-        """Return whether the server is warm or this host has its turn."""
+        """Return whether a cold or possibly cold server can bear a request.
+
+        While this host is isolated, any server can be cold.
+        """
         if not cold_for_s:
             self.cold_start_limiter.end(server, now=now)
             return not self.is_isolated() or self.isolated_limiter.allows(
