Find a partition by beats that stop, not by complete silence

Cause: two hosts were cut off together and heard each other's beats, so neither counted as isolated, except one for 0.6 s.

Change: a host is isolated when the store is lost and beats of any host that it monitors stopped at about the same time. An outage of the store alone stops no beats, and a host that failed earlier does not count. An isolated host sends each server a quarter of the rate of a cold one instead of half, so that several such hosts stay within the limit.

--- a/src/samphirelug/components/fleet/const.py
+++ b/src/samphirelug/components/fleet/const.py
@@ -26,9 +26,10 @@
 # Notices other than BEAT and ASK are sent a second time after this delay,
 # since datagrams may be lost.
 RESEND_DELAY_S = 0.3
-# A host that hears from no other host for this long is cut off from them: two
-# beats of each of two hosts are missing.
-CUT_OFF_AFTER_S = 1.6
+# A silent cut from the store is noticed within about three seconds, when the
+# keep-alive probes of its connections fail. The beats of other hosts stop at
+# the cut itself.
+STORE_LOSS_DELAY_S = 4.0
 # Interval between two reads of the list in the store, which has new hosts.
 LIST_INTERVAL_S = 2.0
 KIND = "entry-hosts"
--- a/src/samphirelug/components/fleet/isolation.py
+++ b/src/samphirelug/components/fleet/isolation.py
@@ -1,7 +1,8 @@
-"""Detect that this host has no news of servers and other entry hosts."""
+"""Detect that this host may lack news of evacuations."""
 
 import logging
 
+from samphirelug.components.fleet import const
 from samphirelug.components.fleet import roster as fleet_roster
 from samphirelug.components.store import availability as store_availability
 from samphirelug.helpers import timer as timer_helper
@@ -12,7 +13,10 @@
 class IsolationDetector:
     """Combine what is known of the store and of other entry hosts.
 
-    A host without the store still learns of evacuations from other hosts.
+    A host without the store still learns of evacuations from other hosts. If
+    beats stop at about the time when the store is lost, this host is probably
+    behind a partition, alone or with hosts that know no more than it does. An
+    outage of the store alone stops no beats.
     """
 
     def __init__(
@@ -28,9 +32,11 @@
         self.was_isolated = False
 
     def is_isolated(self) -> bool:
-        """Return whether neither the store nor any other host is heard."""
-        isolated = self.availability.lost_at_s is not None and (
-            self.roster.is_cut_off(now=self.timer.monotonic())
+        """Return whether this host is probably behind a partition."""
+        lost_at_s = self.availability.lost_at_s
+        isolated = lost_at_s is not None and self.roster.has_lost_host(
+            now=self.timer.monotonic(),
+            since_s=lost_at_s - const.STORE_LOSS_DELAY_S,
         )
         if isolated != self.was_isolated:
             self.was_isolated = isolated
@@ -38,6 +44,12 @@
                 "isolated from the store and other entry hosts"
                 if isolated
                 else "no longer isolated",
-                extra={"heard_at_s": round(self.roster.heard_at_s, 3)},
+                extra={
+                    "absent": sorted(
+                        record.host.name
+                        for record in self.roster.records.values()
+                        if record.absent
+                    )
+                },
             )
         return isolated
--- a/src/samphirelug/components/fleet/roster.py
+++ b/src/samphirelug/components/fleet/roster.py
@@ -50,6 +50,8 @@
         self.leaving = False
         # Whether this process is a monitor of the host: it gets its beats.
         self.monitored = False
+        # Whether this process was a monitor until the beats stopped.
+        self.silent = False
         self.asked = False
 
 
@@ -62,8 +64,6 @@
         self.last_tick_at_s: float | None = None
         # Whether the store's list has been read since the start.
         self.listed = False
-        # Time of the newest notice of another host.
-        self.heard_at_s = 0.0
         # Set when the followers of the store exist.
         self.evacuations: fleet_evacuations.EvacuationExchange | None = None
 
@@ -75,11 +75,12 @@
         """
         return 1 + len(self.records) if self.listed else None
 
-    def is_cut_off(self, *, now: float) -> bool:
-        """Return whether no other host is heard although there are some."""
-        return (
-            bool(self.records)
-            and now - self.heard_at_s > const.CUT_OFF_AFTER_S
+    def has_lost_host(self, *, now: float, since_s: float) -> bool:
+        """Return whether a host that sends beats here stopped after a time."""
+        return any(
+            (record.monitored or record.silent)
+            and since_s <= record.heard_at_s < now - const.ASK_AFTER_S
+            for record in self.records.values()
         )
 
     def serving(self) -> list[model.HostInstance]:
@@ -94,9 +95,7 @@
         self, hosts: Iterable[model.HostInstance], *, now: float
     ) -> None:
         """Add or update the hosts in the store's list; none is removed."""
-        if not self.listed:
-            self.listed = True
-            self.heard_at_s = now
+        self.listed = True
         for host in hosts:
             if host.name == self.own.name:
                 continue
@@ -138,7 +137,6 @@
             # other hosts only appear to be silent.
             for record in self.records.values():
                 record.heard_at_s = max(record.heard_at_s, now)
-            self.heard_at_s = now
         self.last_tick_at_s = now
         due = [OutgoingNotice(self._own_notice(const.BEAT), self.monitors())]
         for record in self.records.values():
@@ -147,6 +145,7 @@
                 continue
             if silent_s >= const.ABSENT_AFTER_S:
                 record.monitored = False
+                record.silent = True
                 self._mark_absent(record, "silent", silent_s)
                 notice = Notice(
                     const.ABSENT, record.host.name, record.host.incarnation
@@ -172,7 +171,6 @@
 
     def receive(self, notice: Notice, *, now: float) -> list[OutgoingNotice]:
         """Apply a received notice and return the notices to send for it."""
-        self.heard_at_s = now
         if notice.name == self.own.name:
             if notice.kind == const.ABSENT:
                 # A monitor received no beats from this host for a while and
@@ -193,6 +191,7 @@
             self._mark_present(record, notice)
             return []
         record.heard_at_s = now
+        record.silent = False
         if notice.kind == const.LEAVING:
             record.leaving = True
             record.monitored = False
--- a/src/samphirelug/components/placement/cold.py
+++ b/src/samphirelug/components/placement/cold.py
@@ -25,9 +25,9 @@
 # its start are added to those whose turn begins during it: with half a second
 # these are 1.5 times the rate together.
 MAX_TURN_S = 0.5
-# Share of a cold server's rate that an isolated host uses on its own. A few
+# Share of a cold server's rate that an isolated host uses on its own. Several
 # such hosts and the turns of all others stay near the rate.
-ISOLATED_RATE_RATIO = 0.5
+ISOLATED_RATE_RATIO = 0.25
 
 
 class ColdPeriod:
@@ -151,8 +151,7 @@
 class IsolatedHostLimiter:
     """Limit this host's requests to each server while it is isolated.
 
-    A host that hears neither from the store nor from other hosts does not know
-    which servers have become cold.
+    A host behind a partition does not know which servers have become cold.
     """
 
     def __init__(self) -> None:
--- a/tests/components/placement/test_placer.py
+++ b/tests/components/placement/test_placer.py
@@ -201,7 +201,11 @@
             else:
                 withheld += 1
         choose_server(server_placer, now=3.0)
-    begin, end = (record.__dict__ for record in caplog.records)
+    begin, end = (
+        record.__dict__
+        for record in caplog.records
+        if record.name == cold.__name__
+    )
     assert begin["message"] == "backend server is cold"
     assert (begin["cold_for_s"], begin["in_flight"]) == (3.0, 4)
     assert end["message"] == "cold start of backend server ended"
