Give each listener of a soak's host a port of its own

Cause: the ports of a host were drawn one after the other, and each was free again when the next was drawn. Two of host-2's three listeners got port 44137, and the process ended with 'Address already in use'.

Change: the ports are drawn together, while all are bound.

--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -1,6 +1,7 @@
 """Start real entry hosts against fakes of the store and the servers."""
 
 import asyncio
+import contextlib
 import os
 import pathlib
 import random
@@ -22,12 +23,15 @@
 ZONES = {"a1": "a", "a2": "a"}
 
 
-def free_port(host: str) -> int:
-    """Return a port that is free at the moment."""
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        port: int = sock.getsockname()[1]
-        return port
+def free_ports(host: str, *, count: int) -> list[int]:
+    """Return different ports that are free at the moment."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        # All sockets stay bound until the last one is, or a port could be
+        # returned twice.
+        for sock in sockets:
+            sock.bind((host, 0))
+        return [int(sock.getsockname()[1]) for sock in sockets]
 
 
 class HostProcess:
@@ -42,7 +46,9 @@
         network, subnet = divmod(os.getpid() % 50_000, 250)
         self.ip = f"127.{20 + network}.{subnet}.{10 + number}"
         self.folder = folder
-        self.directory_port = free_port(self.ip)
+        callers_port, ready_port, self.directory_port = free_ports(
+            self.ip, count=3
+        )
         self.process: asyncio.subprocess.Process | None = None
         self.settings = {
             "NodeName": self.name,
@@ -51,8 +57,8 @@
             "Region": "a",
             "Zones": ZONES,
             "Listen": {
-                "Front": f"{self.ip}:{free_port(self.ip)}",
-                "Ready": f"{self.ip}:{free_port(self.ip)}",
+                "Front": f"{self.ip}:{callers_port}",
+                "Ready": f"{self.ip}:{ready_port}",
                 "Directory": f"{self.ip}:{self.directory_port}",
             },
             "PortRange": [17660, 17675],
@@ -119,7 +125,7 @@
 
     async def start(self) -> None:
         """Start everything and wait until all hosts are ready."""
-        port = free_port("127.0.0.1")
+        (port,) = free_ports("127.0.0.1", count=1)
         store.serve(self.store, host="127.0.0.1", port=port)
         self.change_configuration()
         for _ in range(4):
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -6,6 +6,7 @@
 import pytest
 
 from standins.soak import __main__ as soak_main
+from standins.soak import world as soak_world
 
 DURATION_S = 6.0
 HOST_COUNT = 3
@@ -37,3 +38,9 @@
 def test_planned_stops_interrupt_nothing(tmp_path: pathlib.Path) -> None:
     """Guard against requests lost in restarts, reloads and drains."""
     assert not run(3, tmp_path, planned_only=True)
+
+
+def test_listeners_of_a_host_get_different_ports() -> None:
+    """Guard against a host that cannot start, as in the run of seed 715."""
+    ports = soak_world.free_ports("127.0.0.1", count=500)
+    assert len(set(ports)) == len(ports)
