--- a/tests/components/placement/test_cold_start.py
+++ b/tests/components/placement/test_cold_start.py
@@ -9,7 +9,7 @@
 from standins import forwarding as build
 
 ROUTE = build.route()
-# The rate of a deployment; its callers tolerate this many requests in a
+# The rate of a deployment, whose cold servers bear this many requests in a
 # second: 1.5 times the rate and 5 more.
 SERVICE = build.service()._replace(cold_requests_per_s=2.7, cold_start_s=3.0)
 MAX_REQUESTS_IN_A_SECOND = 1.5 * 2.7 + 5
