Obey what servers say: leaving, Retry-After and whose answer it is

Cause: the path through routes did not read Server-Leaving, so that it sent requests to such a server until the store said so; it did not read the Retry-After of a 503; and it believed an answer without a request ID on a reused connection. A faulty server that writes an earlier refusal once more there made the host say "not run" about a request that the server ran, or send it to a second one.

Change: - Server-Leaving is read from each complete answer, also from refusals and from answers to other requests, but not from status 421, which another server sends. The registry keeps the incarnation out of use whatever its entry says; a start with another time of birth is usable at once. - A server that answers 503 with Retry-After gets nothing from this host for that time and up to a quarter more by a hash of host and server, then one request. Callers that are refused since all servers are held are told the remaining time. - An answer without an ID on a reused connection leaves the outcome unknown. - A repeat to the same server always opens a connection: the connection of the first attempt may have carried another request in between. - After a connection is opened, the server is checked once more.

--- a/src/samphirelug/components/backend/model.py
+++ b/src/samphirelug/components/backend/model.py
@@ -66,6 +66,7 @@
 
     kind: FailureKind
     detail: str
+    # Seconds for which the server wants no requests from this host.
     retry_after_s: float = 0.0
 
 
--- a/src/samphirelug/components/fleet/model.py
+++ b/src/samphirelug/components/fleet/model.py
@@ -5,6 +5,14 @@
 from samphirelug import core
 
 
+class Incarnation(NamedTuple):
+    """Identify one start of a backend server."""
+
+    instance_id: str
+    # 0 if the server does not report it.
+    started_unix_ms: int
+
+
 class ServerInstance(NamedTuple):
     """Describe one incarnation of a backend server."""
 
@@ -24,9 +32,9 @@
     cold_until_s: float
 
     @property
-    def incarnation(self) -> tuple[str, int]:
+    def incarnation(self) -> Incarnation:
         """Return an identifier that differs for each start of the server."""
-        return (self.instance_id, self.started_unix_ms)
+        return Incarnation(self.instance_id, self.started_unix_ms)
 
 
 class Evacuations(NamedTuple):
--- a/src/samphirelug/components/fleet/registry.py
+++ b/src/samphirelug/components/fleet/registry.py
@@ -7,6 +7,9 @@
 from samphirelug.components.fleet import model
 
 _LOGGER = logging.getLogger(__name__)
+# Number of incarnations that are remembered as leaving. A fleet restarts a few
+# hundred servers a day, so that this lasts for weeks.
+MAX_LEAVING = 10_000
 
 
 class ServerRegistry:
@@ -25,16 +28,56 @@
         # End of the grace period of each server that is missing after an
         # outage of the store, by instance id.
         self.missing_until_s: dict[str, float] = {}
+        # Incarnations that announced their leaving in an answer or that
+        # another host heard it from, oldest first. An entry that still says
+        # "ready", or one that is written again after an outage, does not
+        # make them usable.
+        self.leaving: dict[model.Incarnation, None] = {}
         # Incremented whenever the usable servers may have changed.
         self.generation = 0
         self.usable_by_service: dict[str, list[model.ServerInstance]] = {}
         # Called with each removed server and each superseded incarnation.
         self.on_removed: list[Callable[[model.ServerInstance], None]] = []
+        # Called with each incarnation that is newly known to leave.
+        self.on_leaving: list[Callable[[model.Incarnation], None]] = []
 
     def usable(self, service: str) -> list[model.ServerInstance]:
         """Return the servers of a service that may get new requests."""
         return self.usable_by_service.get(service, [])
 
+    def may_be_sent(self, server: model.ServerInstance) -> bool:
+        """Return whether this incarnation may get new requests."""
+        known = self.servers.get(server.instance_id)
+        return (
+            known is not None
+            and known.incarnation == server.incarnation
+            and self._is_usable(known)
+        )
+
+    def mark_leaving(
+        self, incarnation: model.Incarnation, *, source: str
+    ) -> None:
+        """Stop new requests to an incarnation that announced its leaving."""
+        if incarnation in self.leaving:
+            return
+        self.leaving[incarnation] = None
+        while len(self.leaving) > MAX_LEAVING:
+            del self.leaving[next(iter(self.leaving))]
+        self._rebuild_usable()
+        server = self.servers.get(incarnation.instance_id)
+        _LOGGER.info(
+            "backend server announced its leaving",
+            extra={
+                "server": incarnation.instance_id,
+                "started_unix_ms": incarnation.started_unix_ms,
+                "listed": server is not None
+                and server.incarnation == incarnation,
+                "source": source,
+            },
+        )
+        for listener in self.on_leaving:
+            listener(incarnation)
+
     def put(self, server: model.ServerInstance, *, source: str) -> None:
         """Add or replace a server."""
         previous = self.servers.get(server.instance_id)
@@ -42,6 +85,14 @@
         if previous == server:
             return
         self.servers[server.instance_id] = server
+        if (
+            previous is not None
+            and previous.incarnation == server.incarnation
+            and previous.draining
+            and not server.draining
+        ):
+            # The server has changed its mind, after what it said in answers.
+            self.leaving.pop(server.incarnation, None)
         if previous is not None and previous.incarnation != server.incarnation:
             self._notify_removed(previous)
         self._rebuild_usable()
@@ -122,6 +173,9 @@
     def _remove(self, server: model.ServerInstance, source: str) -> None:
         self.missing_until_s.pop(server.instance_id, None)
         del self.servers[server.instance_id]
+        if not server.started_unix_ms:
+            # A later start under the same id would look like this one.
+            self.leaving.pop(server.incarnation, None)
         self._rebuild_usable()
         self._notify_removed(server)
         _LOGGER.info(
@@ -138,11 +192,17 @@
         for listener in self.on_removed:
             listener(server)
 
+    def _is_usable(self, server: model.ServerInstance) -> bool:
+        return (
+            not server.draining
+            and server.zone.name not in self.evacuated_zones
+            and server.incarnation not in self.leaving
+        )
+
     def _rebuild_usable(self) -> None:
         self.generation += 1
         usable: dict[str, list[model.ServerInstance]] = {}
         for server in self.servers.values():
-            if server.draining or server.zone.name in self.evacuated_zones:
-                continue
-            usable.setdefault(server.service, []).append(server)
+            if self._is_usable(server):
+                usable.setdefault(server.service, []).append(server)
         self.usable_by_service = usable
--- a/src/samphirelug/components/forwarding/forwarder.py
+++ b/src/samphirelug/components/forwarding/forwarder.py
@@ -140,6 +140,8 @@
         trace: request_log.RequestTrace,
     ) -> RequestResult:
         tried: set[str] = set()
+        # Unlike those in tried, they may be chosen again.
+        sent_to: set[str] = set()
         send_count = 0
         summary = _AttemptSummary()
         while True:
@@ -169,11 +171,18 @@
                 )
                 return _final_result(summary, refusal)
             candidate = placement.unwrap()
-            tried.add(candidate.server.instance_id)
+            instance_id = candidate.server.instance_id
+            is_repeat = instance_id in sent_to
+            tried.add(instance_id)
+            sent_to.add(instance_id)
             send_count += 1
             outcome = await self._run_attempt(
                 model.Attempt(
-                    request, candidate.server, deadline_at_s, route.idempotent
+                    request,
+                    candidate.server,
+                    deadline_at_s,
+                    route.idempotent,
+                    is_repeat,
                 ),
                 candidate,
                 service,
@@ -195,7 +204,7 @@
                 ):
                     return _final_result(summary, None)
                 if failed_attempt.refused_with_free_slot:
-                    tried.discard(candidate.server.instance_id)
+                    tried.discard(instance_id)
             if (
                 len(tried) >= route.max_attempts
                 or send_count >= const.MAX_SENDS
--- a/src/samphirelug/components/forwarding/model.py
+++ b/src/samphirelug/components/forwarding/model.py
@@ -42,6 +42,9 @@
     # The server stops work at this time, on the entry host's monotonic clock.
     deadline_at_s: float
     idempotent: bool
+    # Whether this request was sent to the same server before. A second answer
+    # to that attempt may arrive on any connection that has carried it.
+    is_repeat: bool = False
 
 
 class AttemptAnswer(NamedTuple):
@@ -51,6 +54,8 @@
     report: placement_load.LoadReport | None
     # Seconds for which the server stays cold; None if it does not report it.
     cold_s: float | None
+    # Seconds for which the server wants no requests from this host.
+    retry_after_s: float = 0.0
 
 
 class AttemptFailure(NamedTuple):
@@ -63,10 +68,12 @@
     def refused_with_free_slot(self) -> bool:
         """Return whether the server refused although it had a free slot.
 
-        Such a server fails some requests at random and may accept the next.
+        Such a server fails some requests at random and may accept the next,
+        unless it wants no requests for a while.
         """
         return (
             self.failure.kind is backend_model.FailureKind.REFUSED
+            and not self.failure.retry_after_s
             and self.report is not None
             and self.report.running < self.report.slots
         )
--- a/src/samphirelug/components/http/io_connection.py
+++ b/src/samphirelug/components/http/io_connection.py
@@ -23,6 +23,10 @@
         # A second answer to this request may still arrive, so a retry of it
         # must use another connection.
         self.last_request_id = ""
+        # Number of requests sent on the connection.
+        self.request_count = 0
+        # Whether an answer on the connection said that the server is leaving.
+        self.is_server_leaving = False
 
     def is_reusable(self) -> bool:
         """Return whether the connection is open with nothing to read."""
--- a/src/samphirelug/components/http/io_pool.py
+++ b/src/samphirelug/components/http/io_pool.py
@@ -1,6 +1,7 @@
 """Send attempts to backend servers over a pool of connections."""
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 import logging
 import re
@@ -20,6 +21,7 @@
 from samphirelug.components.http import io_connection
 from samphirelug.components.http import model as http_model
 from samphirelug.components.http import response_parser
+from samphirelug.components.http import server_retry_after
 from samphirelug.components.placement import load as placement_load
 from samphirelug import core
 from samphirelug.helpers import http_fields
@@ -38,9 +40,17 @@
         *,
         timer: timer_helper.TimerService,
         names: http_model.HeaderNames,
+        may_be_sent: Callable[[fleet_model.ServerInstance], bool],
     ) -> None:
         self.timer = timer
         self.names = names
+        # Whether a server may still get a request; it may have started to
+        # leave while a connection to it was being opened.
+        self.may_be_sent = may_be_sent
+        # Called with a server that says in an answer that it is leaving.
+        self.on_leaving: list[
+            Callable[[fleet_model.ServerInstance], None]
+        ] = []
         self.idle_connections: dict[
             tuple[str, int], list[io_connection.ServerConnection]
         ] = {}
@@ -81,11 +91,21 @@
             if isinstance(opened, Failure):
                 return Failure(model.AttemptFailure(opened.failure()))
             connection = opened.unwrap()
+            if not self.may_be_sent(attempt.server):
+                connection.close()
+                return _failure(
+                    backend_model.FailureKind.NOT_SENT,
+                    "the server left or paused while a connection was opened",
+                )
         try:
             result = await self._exchange(connection, attempt)
         except BaseException:
             connection.reset()
             raise
+        finally:
+            if connection.is_server_leaving:
+                for listener in self.on_leaving:
+                    listener(attempt.server)
         return result
 
     async def _open(
@@ -127,6 +147,8 @@
     def _take_idle(
         self, attempt: model.Attempt
     ) -> io_connection.ServerConnection | None:
+        if attempt.is_repeat:
+            return None
         idle = self.idle_connections.get(attempt.server.incarnation)
         now = self.timer.monotonic()
         while idle:
@@ -173,6 +195,7 @@
             )
         written.add_done_callback(_suppress_write_error)
         connection.last_request_id = attempt.request.request_id
+        connection.request_count += 1
         parser = response_parser.ResponseParser(
             is_head=attempt.request.method == "HEAD"
         )
@@ -211,6 +234,17 @@
             self._release(connection, attempt)
         else:
             connection.close()
+        if (
+            response.get(self.names.request_id) is None
+            and connection.request_count > 1
+        ):
+            # It may be a copy of the answer to an earlier request, so that
+            # even a refusal says nothing about this request.
+            return _failure(
+                backend_model.FailureKind.INCOMPLETE,
+                f"answer with status {response.status} lacks the request ID"
+                " on a reused connection",
+            )
         return self._classify(response, attempt)
 
     async def _read(
@@ -225,6 +259,12 @@
             while parser.completed:
                 response = parser.completed.popleft()
                 answered_id = response.get(self.names.request_id)
+                # With status 421, another server has answered.
+                if (
+                    response.get(self.names.server_leaving) == "1"
+                    and response.status != 421
+                ):
+                    connection.is_server_leaving = True
                 if answered_id in (None, attempt.request.request_id):
                     return response
                 if skipped_any:
@@ -265,6 +305,11 @@
     ) -> model.AttemptResult:
         report = _parse_load_report(response.get(self.names.server_load))
         status = response.status
+        retry_after_s = 0.0
+        if status == 503:
+            retry_after_s = server_retry_after.parse(
+                response.headers, server=attempt.server.instance_id
+            )
         if status == 421:
             return _failure(
                 backend_model.FailureKind.MISDIRECTED,
@@ -272,13 +317,16 @@
                 report,
             )
         if response.get(self.names.not_executed) is not None:
-            closing = _announces_close(response)
+            leaving = response.get(self.names.server_leaving) == "1" or (
+                _announces_close(response) and status != 503
+            )
             return _failure(
                 backend_model.FailureKind.LEAVING
-                if closing and status != 503
+                if leaving
                 else backend_model.FailureKind.REFUSED,
                 f"the server did not run the request: status {status}",
                 report,
+                retry_after_s,
             )
         if response.get(self.names.request_id) is None or (
             response.get(self.names.response_seal) is None
@@ -287,6 +335,7 @@
                 backend_model.FailureKind.INCOMPLETE,
                 f"answer with status {status} lacks request ID or signature",
                 report,
+                retry_after_s,
             )
         if response.get("content-encoding") is not None:
             return _failure(
@@ -306,7 +355,9 @@
         )
         cold_ms = response.get(self.names.cold_ms)
         cold_s = int(cold_ms) / 1000 if cold_ms and cold_ms.isdigit() else None
-        return Success(model.AttemptAnswer(answer, report, cold_s))
+        return Success(
+            model.AttemptAnswer(answer, report, cold_s, retry_after_s)
+        )
 
     def _render(self, attempt: model.Attempt, remaining_s: float) -> bytes:
         request = attempt.request
@@ -367,6 +418,7 @@
         and parser.is_at_boundary
         and not response.is_close_delimited
         and response.keep_alive
+        and not connection.is_server_leaving
         and not _announces_close(response)
     )
 
@@ -397,10 +449,11 @@
     kind: backend_model.FailureKind,
     detail: str,
     report: placement_load.LoadReport | None = None,
+    retry_after_s: float = 0.0,
 ) -> model.AttemptResult:
     return Failure(
         model.AttemptFailure(
-            backend_model.BackendFailure(kind, detail), report
+            backend_model.BackendFailure(kind, detail, retry_after_s), report
         )
     )
 
--- a/src/samphirelug/components/http/model.py
+++ b/src/samphirelug/components/http/model.py
@@ -24,6 +24,8 @@
     not_executed: str
     # Milliseconds for which a server remains cold.
     cold_ms: str
+    # "1" in the answers of a server that is leaving.
+    server_leaving: str
 
 
 class Response(NamedTuple):
--- a/src/samphirelug/components/placement/cold.py
+++ b/src/samphirelug/components/placement/cold.py
@@ -17,7 +17,7 @@
 from samphirelug.components.fleet import model as fleet_model
 
 _LOGGER = logging.getLogger(__name__)
-Incarnation = tuple[str, int]
+Incarnation = fleet_model.Incarnation
 # This minimum keeps the interval finite when a service is configured without
 # a rate.
 MIN_REQUESTS_PER_S = 0.01
@@ -144,8 +144,7 @@
 
     def _turn_offset(self, incarnation: Incarnation) -> float:
         """Return where in each interval this host's turn is, from 0 to 1."""
-        hash_input = f"{self.host}\0{incarnation[0]}"
-        return xxhash.xxh32_intdigest(hash_input.encode()) / (1 << 32)
+        return hash_fraction(self.host, incarnation.instance_id)
 
 
 class IsolatedHostLimiter:
@@ -186,5 +185,11 @@
         return times
 
 
+def hash_fraction(host: str, server: str) -> float:
+    """Return a number from 0 to 1 that differs by host and server."""
+    hash_input = f"{host}\0{server}"
+    return xxhash.xxh32_intdigest(hash_input.encode()) / (1 << 32)
+
+
 def _interval_s(requests_per_s: float, hosts: int) -> float:
     return max(1, hosts) / max(requests_per_s, MIN_REQUESTS_PER_S)
--- a/src/samphirelug/components/placement/const.py
+++ b/src/samphirelug/components/placement/const.py
@@ -32,6 +32,13 @@
 # their deadline, and the maximum fits into that.
 MIN_RETRY_AFTER_S = 0.15
 MAX_RETRY_AFTER_S = 0.8
+# A server's wish for a time without requests is extended by up to this
+# fraction of it, by a hash of host and server. Otherwise all hosts would send
+# again at the same moment.
+HOLD_SPREAD_RATIO = 0.25
+# Upper bound of the Retry-After time of callers that are refused while all
+# servers of their object want no requests.
+MAX_HELD_RETRY_AFTER_S = 5.0
 # Additional delay for each lower priority, as a fraction of the service time.
 PRIORITY_DELAY_RATIO = 0.25
 # Assumed time that a request occupies a slot, used until the first answer has
--- a/src/samphirelug/components/placement/load.py
+++ b/src/samphirelug/components/placement/load.py
@@ -31,6 +31,42 @@
         self.failures_in_row = 0
         self.pause_s = 0.0
         self.paused_until_s = 0.0
+        # End of the time for which the server wants no requests; 0.0 if it
+        # has not asked for that, or has answered a request since its end.
+        self.held_until_s = 0.0
+        # Whether the one request after that time is unanswered.
+        self.probing = False
+
+    def may_be_sent(self, now: float) -> bool:
+        """Return whether neither failures nor the server forbid requests.
+
+        After a time without requests, one is sent to see whether the server
+        accepts requests again.
+        """
+        return (
+            now >= self.paused_until_s
+            and now >= self.held_until_s
+            and not self.probing
+        )
+
+    def hold(self, *, until_s: float) -> None:
+        """Send nothing to the server until a time at its wish."""
+        self.held_until_s = max(self.held_until_s, until_s)
+        self.probing = False
+
+    def record_sent(self, now: float) -> None:
+        """Count a request that is about to be sent."""
+        self.in_flight += 1
+        if self.held_until_s and now >= self.held_until_s:
+            self.probing = True
+
+    def record_ended(self) -> None:
+        """Stop counting a request, and end a time without requests."""
+        if self.in_flight:
+            self.in_flight -= 1
+        if self.probing:
+            self.probing = False
+            self.held_until_s = 0.0
 
     def estimate(self, now: float) -> float:
         """Return the estimated number of requests from all hosts."""
--- a/src/samphirelug/components/placement/placer.py
+++ b/src/samphirelug/components/placement/placer.py
@@ -66,6 +66,7 @@
         is_isolated: Callable[[], bool],
     ) -> None:
         self.registry = registry
+        self.host = host
         self.host_count = host_count
         self.is_isolated = is_isolated
         self.ranking = ranking.ServerRanking(registry=registry)
@@ -97,7 +98,7 @@
             if server.instance_id in tried:
                 continue
             load = self.loads.get_or_create(server.incarnation)
-            if now < load.paused_until_s:
+            if not load.may_be_sent(now):
                 continue
             cold_for_s = self._cold_for_s(server, service, now=now)
             if not self._may_be_sent(
@@ -120,7 +121,7 @@
             return Failure(
                 self._refuse_full(route, service, full_candidates, now)
             )
-        return Failure(_refuse_unusable(ordered_servers))
+        return Failure(self._refuse_unusable(ordered_servers, now=now))
 
     def _cold_for_s(
         self,
@@ -206,7 +207,7 @@
         now: float,
     ) -> None:
         """Count a request that is about to be sent to the server."""
-        self.loads.get_or_create(server.incarnation).in_flight += 1
+        self.loads.get_or_create(server.incarnation).record_sent(now)
         if self._cold_for_s(server, service, now=now):
             self.cold_start_limiter.record_request(server.incarnation, now=now)
         elif self.is_isolated():
@@ -219,8 +220,15 @@
     def record_ended(self, server: fleet_model.ServerInstance) -> None:
         """Stop counting a request that has ended at the server."""
         load = self.loads.by_incarnation.get(server.incarnation)
-        if load is not None and load.in_flight:
-            load.in_flight -= 1
+        if load is not None:
+            load.record_ended()
+
+    def is_held(
+        self, server: fleet_model.ServerInstance, *, now: float
+    ) -> bool:
+        """Return whether the server wants no requests at the moment."""
+        load = self.loads.by_incarnation.get(server.incarnation)
+        return load is not None and now < load.held_until_s
 
     def observe(
         self,
@@ -236,6 +244,8 @@
             return
         if isinstance(outcome, Success):
             success = outcome.unwrap()
+            if success.retry_after_s:
+                self._hold(server, load, success.retry_after_s, now=now)
             if success.report is not None:
                 load.observe_report(success.report, now=now)
             if success.answer.status < 500:
@@ -245,6 +255,10 @@
             self._observe_failure(server, load, now, "server error")
             return
         failed_attempt = outcome.failure()
+        if failed_attempt.failure.retry_after_s:
+            self._hold(
+                server, load, failed_attempt.failure.retry_after_s, now=now
+            )
         if failed_attempt.report is not None:
             load.observe_report(failed_attempt.report, now=now)
         if failed_attempt.failure.kind is backend_model.FailureKind.REFUSED:
@@ -252,6 +266,29 @@
             return
         self._observe_failure(server, load, now, failed_attempt.failure.kind)
 
+    def _hold(
+        self,
+        server: fleet_model.ServerInstance,
+        load: placement_load.ServerLoad,
+        retry_after_s: float,
+        *,
+        now: float,
+    ) -> None:
+        """Send the server nothing for the time that it asked for."""
+        spread = const.HOLD_SPREAD_RATIO * cold.hash_fraction(
+            self.host, server.instance_id
+        )
+        load.hold(until_s=now + retry_after_s * (1.0 + spread))
+        _LOGGER.info(
+            "backend server wants no requests",
+            extra={
+                "server": server.instance_id,
+                "retry_after_s": retry_after_s,
+                "held_s": round(load.held_until_s - now, 3),
+                "in_flight": load.in_flight,
+            },
+        )
+
     def _observe_failure(
         self,
         server: fleet_model.ServerInstance,
@@ -276,16 +313,31 @@
         self.cold_start_limiter.remove(server.incarnation)
         self.isolated_limiter.remove(server.incarnation)
 
-
-def _refuse_unusable(servers: Collection[object]) -> result_codes.Refusal:
-    if not servers:
+    def _refuse_unusable(
+        self, servers: Collection[fleet_model.ServerInstance], *, now: float
+    ) -> result_codes.Refusal:
+        if not servers:
+            return result_codes.Refusal(
+                result_codes.ResultCode.NO_BACKEND_SERVER,
+                "no usable server in the allowed regions",
+                const.INITIAL_PAUSE_S,
+            )
+        waits_s = [
+            self.loads.get_or_create(server.incarnation).held_until_s - now
+            for server in servers
+        ]
+        held = sum(wait_s > 0 for wait_s in waits_s)
+        # Before the first of them ends, only servers that are unusable for
+        # other reasons can become usable.
+        retry_after_s = const.INITIAL_PAUSE_S
+        if held == len(waits_s):
+            retry_after_s = min(
+                max(min(waits_s), const.MIN_RETRY_AFTER_S),
+                const.MAX_HELD_RETRY_AFTER_S,
+            )
         return result_codes.Refusal(
-            result_codes.ResultCode.NO_BACKEND_SERVER,
-            "no usable server in the allowed regions",
-            const.INITIAL_PAUSE_S,
+            result_codes.ResultCode.BACKEND_UNREACHABLE,
+            f"all {len(servers)} servers are paused, cold or already tried;"
+            f" {held} of them want no requests",
+            retry_after_s,
         )
-    return result_codes.Refusal(
-        result_codes.ResultCode.BACKEND_UNREACHABLE,
-        f"all {len(servers)} servers are paused, cold or already tried",
-        const.INITIAL_PAUSE_S,
-    )
--- a/src/samphirelug/forwarding_host.py
+++ b/src/samphirelug/forwarding_host.py
@@ -97,7 +97,15 @@
             host_count=lambda: self.roster.count,
             is_isolated=self.isolation.is_isolated,
         )
-        self.sender = io_pool.PooledSender(timer=timer, names=names)
+        self.sender = io_pool.PooledSender(
+            timer=timer,
+            names=names,
+            may_be_sent=lambda server: (
+                self.registry.may_be_sent(server)
+                and not self.placer.is_held(server, now=timer.monotonic())
+            ),
+        )
+        self.sender.on_leaving.append(self._mark_leaving)
         self.registry.on_removed.append(self.sender.close_idle)
         self.listener = io_pipeline.CallerListener(
             handler=handler.ForwardingHandler(
@@ -202,6 +210,10 @@
             },
         )
 
+    def _mark_leaving(self, server: fleet_model.ServerInstance) -> None:
+        self.sender.close_idle(server)
+        self.registry.mark_leaving(server.incarnation, source="answer")
+
     def _caller_limits(self) -> routing_model.CallerLimits:
         configuration = self.configuration.configuration
         if configuration is None:
--- a/standins/forwarding.py
+++ b/standins/forwarding.py
@@ -16,6 +16,7 @@
     server_load="x-load",
     not_executed="x-not-executed",
     cold_ms="x-cold-ms",
+    server_leaving="x-leaving",
 )
 LIMITS = routing_model.CallerLimits(
     max_header_bytes=1000,
--- a/tests/components/fleet/test_registry.py
+++ b/tests/components/fleet/test_registry.py
@@ -71,3 +71,62 @@
     registry.put(build.server("s0", started_unix_ms=2), source="test")
     assert [server.started_unix_ms for server in removed] == [1]
     assert usable_ids(registry) == {"s0"}
+
+
+def test_server_that_announced_its_leaving_is_not_usable() -> None:
+    """Guard against new requests because the store still says "ready".
+
+    The entry can also lapse in an outage and be written again.
+    """
+    registry = make_registry("s0", "s1")
+    leaving = build.server("s0")
+    registry.mark_leaving(leaving.incarnation, source="answer")
+    assert usable_ids(registry) == {"s1"}
+    assert not registry.may_be_sent(leaving)
+    registry.put(leaving._replace(slots=4), source="test")
+    registry.remove("s0", now=0.0, grace_s=0.0, source="test")
+    registry.put(leaving, source="test")
+    assert usable_ids(registry) == {"s1"}
+
+
+def test_server_that_started_again_is_usable() -> None:
+    """Guard against a restarted server that stays without requests."""
+    registry = make_registry("s0")
+    registry.mark_leaving(build.server("s0").incarnation, source="answer")
+    restarted = build.server("s0", started_unix_ms=2)
+    registry.put(restarted, source="test")
+    assert usable_ids(registry) == {"s0"}
+    assert registry.may_be_sent(restarted)
+    assert not registry.may_be_sent(build.server("s0"))
+
+
+def test_server_without_a_start_time_is_usable_after_its_removal() -> None:
+    """Guard against an id that can never be used again."""
+    registry = fleet_registry.ServerRegistry()
+    server = build.server("s0", started_unix_ms=0)
+    registry.put(server, source="test")
+    registry.mark_leaving(server.incarnation, source="answer")
+    registry.remove("s0", now=0.0, grace_s=0.0, source="test")
+    registry.put(server, source="test")
+    assert usable_ids(registry) == {"s0"}
+
+
+def test_server_that_does_not_leave_after_all_is_usable() -> None:
+    """Guard against a server that is lost because it changed its mind."""
+    registry = make_registry("s0")
+    server = build.server("s0")
+    registry.put(server._replace(draining=True), source="test")
+    registry.mark_leaving(server.incarnation, source="answer")
+    registry.put(server, source="test")
+    assert usable_ids(registry) == {"s0"}
+
+
+def test_memory_of_leaving_servers_is_bounded() -> None:
+    """Guard against memory that grows with each restart in the fleet."""
+    registry = make_registry("s0")
+    for number in range(fleet_registry.MAX_LEAVING + 5):
+        registry.leaving[fleet_model.Incarnation("x", number)] = None
+    registry.mark_leaving(build.server("s0").incarnation, source="answer")
+    registry.mark_leaving(build.server("s1").incarnation, source="answer")
+    assert len(registry.leaving) == fleet_registry.MAX_LEAVING
+    assert usable_ids(registry) == set()
--- a/tests/components/http/test_endless_answers.py
+++ b/tests/components/http/test_endless_answers.py
@@ -52,7 +52,9 @@
 
     async def main() -> model.AttemptResult:
         timer = timer_helper.LoopTimerService()
-        sender = io_pool.PooledSender(timer=timer, names=build.NAMES)
+        sender = io_pool.PooledSender(
+            timer=timer, names=build.NAMES, may_be_sent=lambda _: True
+        )
         attempt = model.Attempt(
             build.request(request_id="r1"),
             build.server("s0", address=f"127.0.0.1:{server.port}"),
--- a/tests/components/http/test_io_pool.py
+++ b/tests/components/http/test_io_pool.py
@@ -62,7 +62,9 @@
         listener = await asyncio.start_server(server.accept, "127.0.0.1", 0)
         port = listener.sockets[0].getsockname()[1]
         timer = timer_helper.LoopTimerService()
-        sender = io_pool.PooledSender(timer=timer, names=build.NAMES)
+        sender = io_pool.PooledSender(
+            timer=timer, names=build.NAMES, may_be_sent=lambda _: True
+        )
 
         def attempt(
             request_id: str = "r1", *, idempotent: bool = True
--- a/tests/components/placement/test_placer.py
+++ b/tests/components/placement/test_placer.py
@@ -165,7 +165,7 @@
     limiters = [
         cold.ColdStartLimiter(host=f"h{number}") for number in range(10)
     ]
-    incarnation = ("s0", 1)
+    incarnation = fleet_model.Incarnation("s0", 1)
     times: list[float] = []
     for step in range(3000):
         now = step / 1000
@@ -212,3 +212,87 @@
     assert (end["sent"], end["withheld"]) == (1, withheld)
     assert withheld == 99
     assert end["fewest_hosts"] == 2
+
+
+def refuse_with_retry_after(
+    server_placer: placer.Placer,
+    server: fleet_model.ServerInstance,
+    *,
+    now: float,
+    retry_after_s: float,
+) -> None:
+    """Let the server turn a request away for a while."""
+    server_placer.record_sent(server, service=SERVICE, now=now)
+    server_placer.record_ended(server)
+    server_placer.observe(
+        server,
+        Failure(
+            forwarding_model.AttemptFailure(
+                backend_model.BackendFailure(
+                    backend_model.FailureKind.REFUSED, "", retry_after_s
+                )
+            )
+        ),
+        now=now,
+        took_s=0.01,
+    )
+
+
+def test_server_that_wants_no_requests_gets_none_in_a_burst() -> None:
+    """Guard against requests that the server has asked not to get."""
+    server = build.server("s0")
+    server_placer = make_placer(server)
+    refuse_with_retry_after(server_placer, server, now=10.0, retry_after_s=2.0)
+    for step in range(200):
+        now = 10.0 + step / 100
+        assert (
+            choose_server(server_placer, now=now)
+            is result_codes.ResultCode.BACKEND_UNREACHABLE
+        )
+    assert choose_server(server_placer, now=12.6) == "s0"
+
+
+def test_one_request_probes_a_server_after_its_wish() -> None:
+    """Guard against a rush at a server that was full a moment ago."""
+    server = build.server("s0")
+    server_placer = make_placer(server)
+    refuse_with_retry_after(server_placer, server, now=0.0, retry_after_s=1.0)
+    assert choose_server(server_placer, now=1.3) == "s0"
+    server_placer.record_sent(server, service=SERVICE, now=1.3)
+    assert choose_server(server_placer, now=1.3) != "s0"
+    server_placer.record_ended(server)
+    assert choose_server(server_placer, now=1.4) == "s0"
+    server_placer.record_sent(server, service=SERVICE, now=1.4)
+    assert choose_server(server_placer, now=1.4) == "s0"
+
+
+def test_hosts_do_not_probe_a_server_at_the_same_moment() -> None:
+    """Guard against a rush of all hosts when a server's wish ends."""
+    server = build.server("s0")
+    ends_s = set()
+    for number in range(20):
+        server_placer = make_placer(server)
+        server_placer.host = f"h{number}"
+        refuse_with_retry_after(
+            server_placer, server, now=0.0, retry_after_s=2.0
+        )
+        load_of_server = server_placer.loads.get_or_create(server.incarnation)
+        assert 2.0 <= load_of_server.held_until_s <= 2.5
+        ends_s.add(load_of_server.held_until_s)
+    assert len(ends_s) == 20
+    assert max(ends_s) - min(ends_s) > 0.3
+
+
+def test_refused_callers_are_told_when_servers_want_requests_again() -> None:
+    """Guard against callers that come back while no server wants requests."""
+    servers = [build.server(f"s{number}") for number in range(2)]
+    server_placer = make_placer(*servers)
+    for server, retry_after_s in zip(servers, (2.0, 4.0), strict=True):
+        refuse_with_retry_after(
+            server_placer, server, now=0.0, retry_after_s=retry_after_s
+        )
+    result = server_placer.choose(
+        route=ROUTE, service=SERVICE, object_key="x", tried=(), now=0.5
+    )
+    refusal: result_codes.Refusal = result.failure()
+    assert 1.5 <= refusal.retry_after_s <= 2.0
