Survive malformed input and unexpected errors, and cut nobody off at a stop

A host's entry with a malformed address ended the sending of notices to all hosts after it. - A follower of the store that ended with an unexpected error was not started again: the host served on and learned of no change. - At a planned stop, the listening socket was closed with connections still in its queue, which resets them; a connection was closed as idle although its next request was waiting in the socket, or right after its last one. - A host was ready, and named in look-ups after a restart, before it had read backend servers and evacuated zones.

Change: datagrams are validated and unexpected errors logged; addresses must be IPv4 with a port; tasks are started again after an error; the queue of the listener is emptied before it is closed, and only connections that were idle for 0.5 s and have no bytes waiting are closed; a host sends no beats before it can serve. Log lines for malformed datagrams are limited.

--- a/src/samphirelug/components/fleet/enrolment.py
+++ b/src/samphirelug/components/fleet/enrolment.py
@@ -10,6 +10,7 @@
 from samphirelug.components.fleet import model
 from samphirelug.components.store import feed as store_feed
 from samphirelug.components.store import model as store_model
+from samphirelug.helpers import addresses
 from samphirelug.helpers import timer as timer_helper
 
 _LOGGER = logging.getLogger(__name__)
@@ -38,7 +39,7 @@
 
         The roster is also refreshed while the registration fails, since this
         host must know how many others there are. The start is announced once
-        it is registered and the addresses of the other hosts are known.
+        it is registered, knows the addresses of the others and can serve.
         """
         registered = announced = False
         while True:
@@ -46,7 +47,12 @@
             # The first list must not be stale: it may lack hosts that have
             # just started too, and this host's shares would be too large.
             listed = await self._refresh_roster(allow_stale=announced)
-            if registered and listed and not announced:
+            if (
+                registered
+                and listed
+                and not announced
+                and self.roster.is_ready()
+            ):
                 announced = True
                 self.protocol.announce_start()
             await self.timer.sleep(
@@ -84,8 +90,13 @@
 
 def _decode(stored: store_model.StoredObject) -> model.HostInstance | None:
     try:
-        return _HOST_ADAPTER.validate_python(stored.value)
-    except pydantic.ValidationError as error:
+        host = _HOST_ADAPTER.validate_python(stored.value)
+        if host.name != stored.key:
+            raise ValueError("the name differs from that of the object")
+        for address in (host.caller_address, host.peer_address):
+            addresses.split(address)
+        return host
+    except ValueError as error:
         _LOGGER.warning(
             "ignoring malformed entry host object from the store",
             extra={"object": stored.key, "detail": str(error)[:200]},
--- a/src/samphirelug/components/fleet/io_datagrams.py
+++ b/src/samphirelug/components/fleet/io_datagrams.py
@@ -8,9 +8,13 @@
 from samphirelug.components.fleet import const
 from samphirelug.components.fleet import model
 from samphirelug.components.fleet import roster as fleet_roster
+from samphirelug.helpers import addresses
+from samphirelug.helpers import log_rate
 from samphirelug.helpers import timer as timer_helper
 
 _LOGGER = logging.getLogger(__name__)
+# Maximum log lines per second for malformed datagrams.
+MALFORMED_LOG_LINES_PER_S = 2
 # A datagram holds the index of the kind, so the order must not change.
 KINDS = (
     const.BEAT,
@@ -36,25 +40,30 @@
     return cbor2.dumps(fields)
 
 
-def decode(data: bytes) -> fleet_roster.Notice | None:
-    """Return the notice of a datagram, None if it is malformed."""
+def decode(data: bytes) -> fleet_roster.Notice:
+    """Return the notice of a datagram; raise ValueError if malformed."""
     try:
-        kind, name, incarnation, *rest = cbor2.loads(data)
-        if not isinstance(name, str) or not isinstance(incarnation, str):
-            raise ValueError("name or incarnation is not a string")
-        return fleet_roster.Notice(
-            KINDS[kind], name, incarnation, _decode_evacuations(rest)
-        )
-    except (cbor2.CBORError, ValueError, TypeError, IndexError) as error:
-        _LOGGER.warning(
-            "ignoring malformed datagram", extra={"detail": str(error)[:200]}
-        )
-        return None
+        fields = cbor2.loads(data)
+    except Exception as error:
+        # The decoder raises errors of many types, such as RecursionError.
+        raise ValueError(f"no CBOR: {error}") from error
+    if not isinstance(fields, list) or len(fields) < 3:
+        raise ValueError("not a list of three fields or more")
+    kind, name, incarnation, *rest = fields
+    if type(kind) is not int or not 0 <= kind < len(KINDS):
+        raise ValueError("unknown kind")
+    if not isinstance(name, str) or not isinstance(incarnation, str):
+        raise ValueError("name or incarnation is not a string")
+    return fleet_roster.Notice(
+        KINDS[kind], name, incarnation, _decode_evacuations(rest)
+    )
 
 
 def _decode_evacuations(fields: list[object]) -> model.Evacuations | None:
     if not fields:
         return None
+    if len(fields) != 2:
+        raise ValueError("the number of fields is wrong")
     revision, zones = fields
     if not isinstance(revision, int) or not isinstance(zones, list):
         raise ValueError("revision or zones have another type")
@@ -75,13 +84,16 @@
         self.roster = roster
         self.timer = timer
         self.transport: asyncio.DatagramTransport | None = None
+        self.malformed_limiter = log_rate.LogRateLimiter(
+            lines_per_s=MALFORMED_LOG_LINES_PER_S
+        )
 
     async def start(self) -> None:
         """Open the socket and start the periodic tick of the roster."""
         loop = asyncio.get_running_loop()
         self.transport, _ = await loop.create_datagram_endpoint(
             lambda: self,
-            local_addr=_split_address(self.roster.own.peer_address),
+            local_addr=addresses.split(self.roster.own.peer_address),
         )
         self.timer.subscribe(
             interval_s=const.BEAT_INTERVAL_S, callback=self._tick
@@ -99,13 +111,26 @@
         self, data: bytes, addr: tuple[str | object, int]
     ) -> None:
         """Pass a received notice to the roster and send its responses."""
-        del addr
-        notice = decode(data)
-        if notice is None:
-            return
         now = self.timer.monotonic()
-        for outgoing in self.roster.receive(notice, now=now):
-            self._send(outgoing)
+        try:
+            notice = decode(data)
+        except ValueError as error:
+            left_out = self.malformed_limiter.try_acquire(now)
+            if left_out is not None:
+                _LOGGER.warning(
+                    "ignoring malformed datagram",
+                    extra={
+                        "detail": str(error)[:200],
+                        "sender": str(addr),
+                        "left_out": left_out,
+                    },
+                )
+            return
+        try:
+            for outgoing in self.roster.receive(notice, now=now):
+                self._send(outgoing)
+        except Exception:
+            _LOGGER.exception("datagram of an entry host not handled")
 
     def error_received(self, exc: Exception) -> None:
         """Ignore the error of a datagram to a host that does not listen.
@@ -133,9 +158,4 @@
     ) -> None:
         assert self.transport is not None
         for host in hosts:
-            self.transport.sendto(data, _split_address(host.peer_address))
-
-
-def _split_address(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    return host, int(port)
+            self.transport.sendto(data, addresses.split(host.peer_address))
--- a/src/samphirelug/components/fleet/roster.py
+++ b/src/samphirelug/components/fleet/roster.py
@@ -5,6 +5,7 @@
 the monitor notifies all hosts that it is absent.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import logging
 from typing import NamedTuple
@@ -64,6 +65,10 @@
         self.last_tick_at_s: float | None = None
         # Whether the store's list has been read since the start.
         self.listed = False
+        # Whether this host can serve requests. Until then it sends no notices,
+        # so that look-up answers of other hosts do not list it again after a
+        # restart.
+        self.is_ready: Callable[[], bool] = lambda: True
         # Set when the followers of the store exist.
         self.evacuations: fleet_evacuations.EvacuationExchange | None = None
 
@@ -138,6 +143,8 @@
             for record in self.records.values():
                 record.heard_at_s = max(record.heard_at_s, now)
         self.last_tick_at_s = now
+        if not self.is_ready():
+            return []
         due = [OutgoingNotice(self._own_notice(const.BEAT), self.monitors())]
         for record in self.records.values():
             silent_s = now - record.heard_at_s
@@ -172,7 +179,7 @@
     def receive(self, notice: Notice, *, now: float) -> list[OutgoingNotice]:
         """Apply a received notice and return the notices to send for it."""
         if notice.name == self.own.name:
-            if notice.kind == const.ABSENT:
+            if notice.kind == const.ABSENT and self.is_ready():
                 # A monitor received no beats from this host for a while and
                 # has reported it as absent to all hosts.
                 return [self.start_notice()]
@@ -199,8 +206,9 @@
             return []
         answers = []
         if notice.kind == const.ASK:
-            beat = self._own_notice(const.BEAT)
-            answers.append(OutgoingNotice(beat, (record.host,)))
+            if self.is_ready():
+                beat = self._own_notice(const.BEAT)
+                answers.append(OutgoingNotice(beat, (record.host,)))
         else:
             record.monitored = True
             if notice.evacuations is not None and self.evacuations is not None:
--- a/src/samphirelug/components/forwarding/request_log.py
+++ b/src/samphirelug/components/forwarding/request_log.py
@@ -13,6 +13,7 @@
 from samphirelug.components.routing import model as routing_model
 from samphirelug.components.routing import table
 from samphirelug import core
+from samphirelug.helpers import log_rate
 from samphirelug import result_codes
 
 _LOGGER = logging.getLogger(__name__)
@@ -90,28 +91,6 @@
         }
 
 
-class LogRateLimiter:
-    """Limit log lines per second and count the lines that are left out."""
-
-    def __init__(self, *, lines_per_s: int) -> None:
-        self.lines_per_s = lines_per_s
-        self.current_second = 0
-        self.lines_in_second = 0
-        self.left_out = 0
-
-    def try_acquire(self, now: float) -> int | None:
-        """Return the lines left out since the last, None to omit this one."""
-        if int(now) != self.current_second:
-            self.current_second = int(now)
-            self.lines_in_second = 0
-        if self.lines_in_second >= self.lines_per_s:
-            self.left_out += 1
-            return None
-        self.lines_in_second += 1
-        left_out, self.left_out = self.left_out, 0
-        return left_out
-
-
 class RequestLog:
     """Log each request's result and update the metrics."""
 
@@ -119,10 +98,10 @@
         self, *, metrics: forwarding_metrics.ForwardingMetrics
     ) -> None:
         self.metrics = metrics
-        self.answered_limiter = LogRateLimiter(
+        self.answered_limiter = log_rate.LogRateLimiter(
             lines_per_s=const.ANSWERED_LOG_LINES_PER_S
         )
-        self.failed_limiter = LogRateLimiter(
+        self.failed_limiter = log_rate.LogRateLimiter(
             lines_per_s=const.FAILED_LOG_LINES_PER_S
         )
 
--- a/src/samphirelug/components/http/io_pipeline.py
+++ b/src/samphirelug/components/http/io_pipeline.py
@@ -255,8 +255,18 @@
             not self.pending
             and self.parser.started_at_s is None
             and not self.stream.writing()
+            and not self._has_unread_bytes()
         )
 
+    def _has_unread_bytes(self) -> bool:
+        """Return whether a request may be waiting in the socket."""
+        if self.closing or self.stream.closed():
+            return False
+        try:
+            return bool(self.stream.socket.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def check_timeouts(self, *, now: float) -> None:
         """Answer a slow request with 408; close an idle connection."""
         limits = self.listener.limits()
@@ -289,21 +299,35 @@
         self.timer = timer
         self.draining = False
         self.port = 0
+        self.sockets: list[socket.socket] = []
         self.connections: set[CallerConnection] = set()
         self.detached_tasks: set[asyncio.Task[model.Response]] = set()
 
     def start_listening(self, *, host: str, port: int) -> None:
         """Bind the address and accept connections on the running loop."""
-        sockets = netutil.bind_sockets(
+        self.sockets = netutil.bind_sockets(
             port, host, backlog=const.LISTEN_BACKLOG
         )
-        self.port = sockets[0].getsockname()[1]
-        self.add_sockets(sockets)
+        self.port = self.sockets[0].getsockname()[1]
+        self.add_sockets(self.sockets)
         self.timer.subscribe(
             interval_s=const.TIMEOUT_CHECK_INTERVAL_S,
             callback=self._check_timeouts,
         )
 
+    def stop(self) -> None:
+        """Stop listening; connections that the kernel has accepted stay.
+
+        Closing the socket would reset those that still wait in its queue,
+        although their callers may have sent requests.
+        """
+        sockets, self.sockets = self.sockets, []
+        for sock in sockets:
+            with contextlib.suppress(OSError):
+                while True:
+                    self._handle_connection(*sock.accept())
+        super().stop()
+
     async def handle_stream(
         self, stream: iostream.IOStream, address: object
     ) -> None:
@@ -322,10 +346,14 @@
         self.detached_tasks.add(task)
         task.add_done_callback(self._finish_detached)
 
-    def close_idle(self) -> None:
-        """Close the connections that have no request in progress."""
+    def close_idle(self, *, min_idle_s: float = 0.0) -> None:
+        """Close the connections that have had no request for a while."""
+        now = self.timer.monotonic()
         for connection in list(self.connections):
-            if connection.is_idle():
+            if (
+                connection.is_idle()
+                and now - connection.idle_since_s >= min_idle_s
+            ):
                 connection.close()
 
     @property
--- a/src/samphirelug/forwarding_host.py
+++ b/src/samphirelug/forwarding_host.py
@@ -1,6 +1,8 @@
 """Assemble an entry host that forwards by routes, and run it."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import logging
 import random
 import signal
@@ -42,10 +44,15 @@
 # Reserved at the end of the grace period for closing connections.
 CLOSE_MARGIN_S = 0.4
 STOP_POLL_INTERVAL_S = 0.05
+# A connection that was idle for less than this when the host stops may have a
+# request on its way.
+MIN_IDLE_BEFORE_CLOSE_S = 0.5
 # Pause after received changes of backend servers, as a fraction of the time
 # within which hosts must act on a draining server. The rest of that time
 # allows for a slow store and for a connection that must be opened again.
 SERVER_PAUSE_FRACTION = 0.35
+# Delay before a task is started again that ended with an unexpected error.
+TASK_RESTART_DELAY_S = 1.0
 # Interval at which the gauge samphirelug_belief is updated.
 BELIEF_INTERVAL_S = 1.0
 
@@ -134,13 +141,20 @@
             timer=timer,
         )
         self.stopping = asyncio.Event()
+        self.roster.is_ready = lambda: self.ready
         self.tasks: list[asyncio.Task[None]] = []
 
     @property
     def ready(self) -> bool:
-        """Return whether look-up answers may list this host."""
+        """Return whether look-up answers may list this host.
+
+        It serves only with a configuration, the backend servers and the
+        evacuated zones.
+        """
         return (
-            self.configuration.table is not None and not self.stopping.is_set()
+            self.configuration.table is not None
+            and all(item.revision for item in self.followers.values())
+            and not self.stopping.is_set()
         )
 
     def addresses_for(self, *, region: str, zone: str) -> list[str]:
@@ -166,10 +180,14 @@
             interval_s=BELIEF_INTERVAL_S, callback=self._update_beliefs
         )
         self.tasks = [
-            asyncio.ensure_future(item.run())
-            for item in self.followers.values()
+            asyncio.ensure_future(self.run_forever(item.run, name=kind))
+            for kind, item in self.followers.items()
         ]
-        self.tasks.append(asyncio.ensure_future(self.enrolment.run()))
+        self.tasks.append(
+            asyncio.ensure_future(
+                self.run_forever(self.enrolment.run, name="enrolment")
+            )
+        )
         _LOGGER.info(
             "entry host started",
             extra={
@@ -182,6 +200,20 @@
         await self.stopping.wait()
         await self._stop()
 
+    async def run_forever(
+        self, run: Callable[[], Awaitable[None]], *, name: str
+    ) -> None:
+        """Start a task again when it ends with an unexpected error.
+
+        Otherwise this host would go on without ever learning of a change.
+        """
+        while True:
+            try:
+                await run()
+            except Exception:
+                _LOGGER.exception("task failed", extra={"task": name})
+            await self.timer.sleep(TASK_RESTART_DELAY_S)
+
     async def _stop(self) -> None:
         """Announce the stop, then close connections when they are idle."""
         started_at_s = self.timer.monotonic()
@@ -196,8 +228,8 @@
         await self.timer.sleep(self.settings.stop_grace_s * LISTEN_FRACTION)
         self.listener.stop()
         while self.timer.monotonic() < close_at_s:
-            self.listener.close_idle()
-            if not self.listener.busy:
+            self.listener.close_idle(min_idle_s=MIN_IDLE_BEFORE_CLOSE_S)
+            if not (self.listener.busy or self.listener.connections):
                 break
             await self.timer.sleep(STOP_POLL_INTERVAL_S)
         for task in (*self.tasks, deregistration):
--- a/tests/components/fleet/test_enrolment.py
+++ b/tests/components/fleet/test_enrolment.py
@@ -27,7 +27,11 @@
 def make_host(name: str) -> fleet_model.HostInstance:
     """Return an entry host."""
     return fleet_model.HostInstance(
-        name, "i1", core.AvailabilityZone("a1", "a"), f"{name}:1", f"{name}:2"
+        name,
+        "i1",
+        core.AvailabilityZone("a1", "a"),
+        "127.0.0.1:1",
+        "127.0.0.1:2",
     )
 
 
@@ -125,3 +129,34 @@
     protocol = asyncio.run(enrol(host_feed))
     assert host_feed.calls[:3] == ["put", "list", "stale list"]
     assert protocol.started == 1
+
+
+def test_malformed_host_objects_are_ignored() -> None:
+    """Guard against one entry that keeps notices from all other hosts."""
+
+    class MalformedFeed(HostFeed):
+        """List objects of another writer besides the hosts."""
+
+        async def list(
+            self, kind: feed.ObjectKind, *, allow_stale: bool = False
+        ) -> Result[model.Listing, result_codes.Refusal]:
+            """Return the hosts and malformed objects."""
+            answer = await super().list(kind, allow_stale=allow_stale)
+            listing = answer.unwrap()
+            value = listing.objects[1].value
+            malformed = tuple(
+                model.StoredObject(name, 1, {**value, "name": name, **fields})
+                for name, fields in (
+                    ("x1", {"peer_address": "nowhere"}),
+                    ("x2", {"peer_address": "127.0.0.1:99999"}),
+                    ("x3", {"caller_address": "a.example:80"}),
+                    ("x4", {"name": "h1"}),
+                    ("x5", {"zone": None}),
+                )
+            )
+            return Success(
+                listing._replace(objects=listing.objects + malformed)
+            )
+
+    protocol = asyncio.run(enrol(MalformedFeed(writable=True)))
+    assert set(protocol.roster.records) == {"h1"}
--- a/tests/components/fleet/test_evacuations.py
+++ b/tests/components/fleet/test_evacuations.py
@@ -85,7 +85,6 @@
         """Deliver notices and the notices sent in response."""
         for sent, recipients in outgoing:
             notice = io_datagrams.decode(io_datagrams.encode(sent))
-            assert notice is not None
             for recipient in recipients:
                 roster = self.hosts[recipient.name].roster
                 self.deliver(roster.receive(notice, now=self.timer.now_s))
@@ -153,4 +152,5 @@
         b"\x85\x00\x61a\x61b\x01\x81\x01",
         b"\x86\x00\x61a\x61b\x01\x80\x01",
     ):
-        assert io_datagrams.decode(fields) is None
+        with pytest.raises(ValueError, match=r"."):
+            io_datagrams.decode(fields)
--- a/tests/components/fleet/test_roster.py
+++ b/tests/components/fleet/test_roster.py
@@ -1,10 +1,15 @@
 """Test the detection of running and failed entry hosts."""
 
+import asyncio
+
+import pytest
+
 from samphirelug.components.fleet import const
 from samphirelug.components.fleet import io_datagrams
 from samphirelug.components.fleet import model
 from samphirelug.components.fleet import roster as fleet_roster
 from samphirelug import core
+from samphirelug.helpers import timer as timer_helper
 
 
 def make_host(name: str) -> model.HostInstance:
@@ -120,8 +125,78 @@
         b"\x01",
         b"\x83\x18\x63aaab",
         b"\x83\x00\x01\x02",
+        b"\x83\x20\x61a\x61b",
+        b"\x83\xf5\x61a\x61b",
+        b"\x82\x00\x61a",
+        b"\xa0",
+        b"\x9b\xff\xff\xff\xff\xff\xff\xff\xff",
+        b"\x81" * 5000 + b"\x00",
     ):
-        assert io_datagrams.decode(data) is None
+        with pytest.raises(ValueError, match=r"."):
+            io_datagrams.decode(data)
+
+
+def test_unexpected_error_does_not_close_the_socket(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guard against one datagram after which a host hears no other."""
+
+    class FailingRoster(fleet_roster.HostRoster):
+        """Fail on each notice."""
+
+        received = 0
+
+        def receive(
+            self, notice: fleet_roster.Notice, *, now: float
+        ) -> list[fleet_roster.OutgoingNotice]:
+            """Raise an error."""
+            del now
+            self.received += 1
+            raise KeyError(notice.name)
+
+    async def main() -> None:
+        roster = FailingRoster(
+            own=make_host("h0")._replace(peer_address="127.0.0.1:17999")
+        )
+        protocol = io_datagrams.NoticeProtocol(
+            roster=roster, timer=timer_helper.LoopTimerService()
+        )
+        await protocol.start()
+        (
+            transport,
+            _,
+        ) = await asyncio.get_running_loop().create_datagram_endpoint(
+            asyncio.DatagramProtocol, remote_addr=("127.0.0.1", 17999)
+        )
+        notice = fleet_roster.Notice(const.BEAT, "h1", "i1")
+        for data in (b"\xff" * 9, io_datagrams.encode(notice)) * 50:
+            transport.sendto(data)
+            await asyncio.sleep(0.001)
+        await asyncio.sleep(0.1)
+        assert roster.received == 50
+        assert protocol.transport is not None
+        assert not protocol.transport.is_closing()
+        transport.close()
+        protocol.transport.close()
+
+    asyncio.run(main())
+    malformed = [
+        record for record in caplog.records if "malformed" in record.message
+    ]
+    assert 1 <= len(malformed) <= 2 * io_datagrams.MALFORMED_LOG_LINES_PER_S
+
+
+def test_host_that_cannot_serve_yet_sends_no_beats() -> None:
+    """Guard against look-up answers that list a host too early."""
+    fleet = Fleet(6)
+    fleet.run(5)
+    starting = fleet.rosters["h1"]
+    starting.is_ready = lambda: False
+    fleet.run(5)
+    assert "h1" not in fleet.serving_names("h0")
+    starting.is_ready = lambda: True
+    fleet.run(5)
+    assert "h1" in fleet.serving_names("h0")
 
 
 def test_number_of_hosts_is_unknown_before_the_first_list() -> None:
--- a/tests/components/http/test_io_pipeline.py
+++ b/tests/components/http/test_io_pipeline.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import os
+import socket
 
 from samphirelug.components.http import io_pipeline
 from samphirelug.components.http import model
@@ -342,3 +344,78 @@
         assert handler.started == ["/0"]
 
     run(script)
+
+
+def test_connections_waiting_to_be_accepted_are_served_at_a_stop() -> None:
+    """Guard against callers cut off that had just connected and sent.
+
+    The kernel accepts connections while the event loop is busy; closing the
+    listening socket resets them.
+    """
+
+    async def script(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        listener: io_pipeline.CallerListener,
+        handler: DelayHandler,
+    ) -> None:
+        del reader, writer, handler
+        sockets = []
+        for _ in range(20):
+            sock = socket.create_connection(("127.0.0.1", listener.port))
+            sock.sendall(b"GET /0 HTTP/1.1\r\nHost: x\r\n\r\n")
+            sockets.append(sock)
+        listener.draining = True
+        listener.stop()
+        for sock in sockets:
+            sock.setblocking(False)
+            reader, writer = await asyncio.open_connection(sock=sock)
+            assert await read_body(reader) == b"/0"
+            writer.close()
+
+    run(script)
+
+
+def test_request_that_waits_in_the_socket_is_served_at_a_stop() -> None:
+    """Guard against closing a connection whose request was not read yet."""
+
+    async def script(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        listener: io_pipeline.CallerListener,
+        handler: DelayHandler,
+    ) -> None:
+        del handler
+        writer.write(b"GET /0 HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert await read_body(reader) == b"/0"
+        listener.draining = True
+        # The bytes arrive without a turn of the event loop.
+        fileno = writer.get_extra_info("socket").fileno()
+        os.write(fileno, b"GET /0 HTTP/1.1\r\nHost: x\r\n\r\n")
+        listener.close_idle()
+        assert await read_body(reader) == b"/0"
+
+    run(script)
+
+
+def test_connection_that_was_just_used_is_not_closed_at_once() -> None:
+    """Guard against closing a connection that a request is on its way to."""
+
+    async def script(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        listener: io_pipeline.CallerListener,
+        handler: DelayHandler,
+    ) -> None:
+        del handler
+        writer.write(b"GET /0 HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert await read_body(reader) == b"/0"
+        listener.close_idle(min_idle_s=0.2)
+        await asyncio.sleep(0.1)
+        writer.write(b"GET /0 HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert await read_body(reader) == b"/0"
+        await asyncio.sleep(0.3)
+        listener.close_idle(min_idle_s=0.2)
+        assert await reader.read() == b""
+
+    run(script)
--- a/tests/platform_adapter/test_objects.py
+++ b/tests/platform_adapter/test_objects.py
@@ -191,3 +191,31 @@
     refusal = settings.read(path).failure()
     assert refusal.code is result_codes.ResultCode.SETTING_INVALID
     assert "PortRange" in refusal.detail
+
+
+@pytest.mark.parametrize(
+    "address",
+    [
+        "10.1.0.5:99999",
+        "10.1.0.5:0",
+        "10.1.0.5:",
+        "10.1.0.5",
+        "10.1.0.5:8 0",
+        "10.1.0.5:\u0661",
+        "server.example:80",
+        "[::1]:80",
+        "10.1.0:80",
+        ":80",
+        7,
+    ],
+)
+def test_server_with_an_unusable_address_is_rejected(address: object) -> None:
+    """Guard against requests that fail in this process or block it.
+
+    Opening a connection to port 99999 raised an error that nothing handled,
+    and a host name is looked up on the event loop.
+    """
+    document = with_field(SERVER, "Address", address)
+    assert isinstance(
+        DECODER.server(stored_object(document), now=0.0), Failure
+    )
