--- a/src/samphirelug/components/fleet/const.py
+++ b/src/samphirelug/components/fleet/const.py
@@ -30,6 +30,13 @@
 # keep-alive probes of its connections fail. The beats of other hosts stop at
 # the cut itself.
 STORE_LOSS_DELAY_S = 4.0
-# Interval between two reads of the list in the store, which has new hosts.
-LIST_INTERVAL_S = 2.0
-KIND = "entry-hosts"
+# Interval between two checks of this host's entry in the store.
+CHECK_INTERVAL_S = 2.0
+# A host that has removed its entry is forgotten after this time. Until then
+# it may still serve requests, and has its share of what hosts have together.
+FORGET_AFTER_S = 20.0
+# The entry of a host that was absent for this long is removed. The host may
+# only be out of touch, and goes on counting until then.
+LOST_AFTER_S = 600.0
+# Number of times that a host that others call absent is asked.
+ASK_REPORTED_COUNT = 2
--- a/src/samphirelug/components/fleet/consumers.py
+++ b/src/samphirelug/components/fleet/consumers.py
@@ -9,8 +9,8 @@
 from samphirelug.components.fleet import model
 from samphirelug.components.fleet import registry as fleet_registry
 from samphirelug.components.routing import table
-from samphirelug.components.store import follower
 from samphirelug.components.store import model as store_model
+from samphirelug.components.store import view as store_view
 from samphirelug.helpers import timer as timer_helper
 
 _LOGGER = logging.getLogger(__name__)
@@ -18,7 +18,7 @@
 SOURCE = "store"
 
 
-class ConfigurationConsumer(follower.ObjectConsumer):
+class ConfigurationConsumer(store_view.ObjectConsumer):
     """Put configurations from the store in force if they are newer."""
 
     def __init__(
@@ -61,7 +61,7 @@
         )
 
 
-class ServerConsumer(follower.ObjectConsumer):
+class ServerConsumer(store_view.ObjectConsumer):
     """Keep the registry of backend servers up to date."""
 
     def __init__(
@@ -130,7 +130,7 @@
         return decoded.unwrap()
 
 
-class EvacuationConsumer(follower.ObjectConsumer):
+class EvacuationConsumer(store_view.ObjectConsumer):
     """Keep the set of evacuated availability zones up to date.
 
     The key of each object is the name of an evacuated zone.
--- a/src/samphirelug/components/fleet/enrolment.py
+++ b/src/samphirelug/components/fleet/enrolment.py
@@ -1,104 +1,125 @@
-"""Register this entry host in the store and read the other entry hosts."""
+"""Register this entry host in the store and find the other entry hosts."""
 
 import logging
 
-import pydantic
 from returns.result import Failure
 
 from samphirelug.components.fleet import const
+from samphirelug.components.fleet import host_entries
 from samphirelug.components.fleet import io_datagrams
-from samphirelug.components.fleet import model
 from samphirelug.components.store import feed as store_feed
-from samphirelug.components.store import model as store_model
-from samphirelug.helpers import addresses
+from samphirelug.components.store import view as store_view
 from samphirelug.helpers import timer as timer_helper
 
 _LOGGER = logging.getLogger(__name__)
-_HOST_ADAPTER = pydantic.TypeAdapter(model.HostInstance)
-# Interval between attempts to register and to read the first list.
-RETRY_INTERVAL_S = 1.0
+# Delay between attempts to register and to find the other hosts; it doubles
+# up to the interval between checks.
+RETRY_DELAY_S = 0.25
+# Delay before a host looks for the others when the whole system starts for
+# the first time: they register within it.
+FIRST_START_DELAY_S = 2.5
 
 
 class Enrolment:
-    """Keep the roster and the store's list of entry hosts up to date."""
+    """Keep this host's entry in the store, and find hosts to follow."""
 
     def __init__(
         self,
         *,
         feed: store_feed.ObjectFeed,
         protocol: io_datagrams.NoticeProtocol,
+        view: store_view.ObjectView,
         timer: timer_helper.TimerService,
+        first_start: bool,
     ) -> None:
         self.feed = feed
         self.protocol = protocol
         self.roster = protocol.roster
+        # The entries of all hosts.
+        self.view = view
         self.timer = timer
+        self.first_start = first_start
+        # Revision of this host's entry; 0 before it is registered.
+        self.entry_revision = 0
+        self.entry_exists = False
+        # Whether other hosts are known, or that there are none.
+        self.searched = False
 
     async def run(self) -> None:
-        """Register and refresh the roster until cancelled.
-
-        The roster is also refreshed while the registration fails, since this
-        host must know how many others there are. The start is announced once
-        it is registered, knows the addresses of the others and can serve.
-        """
-        registered = announced = False
+        """Register, find the other hosts and announce the start."""
+        if self.first_start and not self.searched:
+            await self._register()
+            await self.timer.sleep(FIRST_START_DELAY_S)
+        announced = False
+        delay_s = RETRY_DELAY_S
         while True:
-            registered = registered or await self._register()
-            # The first list must not be stale: it may lack hosts that have
-            # just started too, and this host's shares would be too large.
-            listed = await self._refresh_roster(allow_stale=announced)
+            # The entries may be outdated: they serve to find hosts to follow,
+            # and the current ones come from these.
+            self.searched = self.searched or await self._search()
+            if not self.entry_revision or self._is_entry_missing():
+                await self._register()
             if (
-                registered
-                and listed
-                and not announced
+                not announced
+                and self.entry_revision
+                and self.roster.listed
                 and self.roster.is_ready()
             ):
                 announced = True
                 self.protocol.announce_start()
-            await self.timer.sleep(
-                const.LIST_INTERVAL_S if announced else RETRY_INTERVAL_S
-            )
+            await self.timer.sleep(delay_s)
+            delay_s = min(const.CHECK_INTERVAL_S, 2 * delay_s)
 
     async def deregister(self) -> None:
-        """Remove this host from the store's list."""
+        """Remove this host's entry."""
         await self.feed.delete(
             store_feed.ObjectKind.ENTRY_HOSTS, self.roster.own.name
         )
 
-    async def _register(self) -> bool:
+    async def remove_lost_hosts(self) -> None:
+        """Remove the entries of hosts that have been absent for long.
+
+        One that was only out of touch registers again when it is back.
+        """
+        for name in self.roster.lost(now=self.timer.monotonic()):
+            stored = self.view.objects.get(name)
+            if stored is None:
+                continue
+            _LOGGER.info(
+                "removing the entry of a lost host", extra={"host": name}
+            )
+            await self.feed.delete(
+                store_feed.ObjectKind.ENTRY_HOSTS,
+                name,
+                revision=stored.revision,
+            )
+
+    def _is_entry_missing(self) -> bool:
+        return (
+            self.view.revision > self.entry_revision
+            and self.roster.own.name not in self.view.objects
+        )
+
+    async def _register(self) -> None:
         own = self.roster.own
         written = await self.feed.put(
             store_feed.ObjectKind.ENTRY_HOSTS,
             own.name,
-            {**own._asdict(), "zone": own.zone._asdict()},
+            host_entries.encode(own),
+            probably_exists=self.entry_exists,
         )
-        return not isinstance(written, Failure)
+        if not isinstance(written, Failure):
+            self.entry_revision = written.unwrap()
+            self.entry_exists = True
 
-    async def _refresh_roster(self, *, allow_stale: bool) -> bool:
+    async def _search(self) -> bool:
         answer = await self.feed.list(
-            store_feed.ObjectKind.ENTRY_HOSTS, allow_stale=allow_stale
+            store_feed.ObjectKind.ENTRY_HOSTS, allow_stale=True
         )
         if isinstance(answer, Failure):
             return False
-        hosts = [_decode(stored) for stored in answer.unwrap().objects]
-        self.roster.update_from_list(
-            [host for host in hosts if host is not None],
-            now=self.timer.monotonic(),
+        hosts = host_entries.decode_all(answer.unwrap().objects)
+        self.entry_exists = any(
+            host.name == self.roster.own.name for host in hosts
         )
+        self.roster.add_known(hosts, now=self.timer.monotonic())
         return True
-
-
-def _decode(stored: store_model.StoredObject) -> model.HostInstance | None:
-    try:
-        host = _HOST_ADAPTER.validate_python(stored.value)
-        if host.name != stored.key:
-            raise ValueError("the name differs from that of the object")
-        for address in (host.caller_address, host.peer_address):
-            addresses.split(address)
-        return host
-    except ValueError as error:
-        _LOGGER.warning(
-            "ignoring malformed entry host object from the store",
-            extra={"object": stored.key, "detail": str(error)[:200]},
-        )
-        return None
--- a/src/samphirelug/components/fleet/evacuations.py
+++ b/src/samphirelug/components/fleet/evacuations.py
@@ -5,10 +5,14 @@
 therefore tell each other what they have read, with the store's revision.
 """
 
+import logging
+
 from samphirelug.components.fleet import model
 from samphirelug.components.fleet import registry as fleet_registry
-from samphirelug.components.store import follower as store_follower
-from samphirelug.helpers import timer as timer_helper
+from samphirelug.components.store import model as store_model
+from samphirelug.components.store import view as store_view
+
+_LOGGER = logging.getLogger(__name__)
 
 
 class EvacuationExchange:
@@ -17,32 +21,40 @@
     def __init__(
         self,
         *,
-        follower: store_follower.ObjectFollower,
+        view: store_view.ObjectView,
         registry: fleet_registry.ServerRegistry,
-        timer: timer_helper.TimerService,
     ) -> None:
-        self.follower = follower
+        self.view = view
         self.registry = registry
-        self.timer = timer
 
     def current(self) -> model.Evacuations | None:
         """Return what this host knows, None if it has not read anything."""
-        if not self.follower.revision:
+        if not self.view.revision:
             return None
         return model.Evacuations(
-            self.follower.revision, self.registry.evacuated_zones
+            self.view.revision, self.registry.evacuated_zones
         )
 
     def receive(self, evacuations: model.Evacuations, *, host: str) -> None:
         """Adopt the evacuated zones of another host if they are newer."""
         if (
-            evacuations.revision <= self.follower.revision
+            evacuations.revision <= self.view.revision
             or evacuations.zones == self.registry.evacuated_zones
         ):
             return
-        # A watch continues from here, so that it does not return changes that
-        # this state includes.
-        self.follower.revision = evacuations.revision
-        self.registry.set_evacuated(
-            evacuations.zones, now=self.timer.monotonic(), source=host
+        _LOGGER.info(
+            "evacuated zones adopted",
+            extra={"host": host, "revision": evacuations.revision},
+        )
+        # A watch continues from this revision, so that it does not return
+        # changes that this state includes.
+        self.view.replace_all(
+            store_model.Listing(
+                evacuations.revision,
+                tuple(
+                    store_model.StoredObject(zone, evacuations.revision, {})
+                    for zone in sorted(evacuations.zones)
+                ),
+            ),
+            grace_s=0.0,
         )
--- a/src/samphirelug/components/fleet/roster.py
+++ b/src/samphirelug/components/fleet/roster.py
@@ -53,7 +53,12 @@
         self.monitored = False
         # Whether this process was a monitor until the beats stopped.
         self.silent = False
-        self.asked = False
+        # Whether any notice of the host has been received.
+        self.heard = False
+        # Number of times to ask the host, since others call it absent.
+        self.ask_count = 0
+        # Time at which its entry was removed; None while it has one.
+        self.unlisted_at_s: float | None = None
 
 
 class HostRoster:
@@ -63,7 +68,9 @@
         self.own = own
         self.records: dict[str, HostRecord] = {}
         self.last_tick_at_s: float | None = None
-        # Whether the store's list has been read since the start.
+        # Incremented whenever the hosts that serve may have changed.
+        self.generation = 0
+        # Whether the current entries of the hosts are known.
         self.listed = False
         # Whether this host can serve requests. Until then it sends no notices,
         # so that look-up answers of other hosts do not list it again after a
@@ -99,20 +106,98 @@
     def update_from_list(
         self, hosts: Iterable[model.HostInstance], *, now: float
     ) -> None:
-        """Add or update the hosts in the store's list; none is removed."""
+        """Add or update hosts by their current entries; none is removed."""
         self.listed = True
         for host in hosts:
             if host.name == self.own.name:
                 continue
             record = self.records.get(host.name)
             if record is None:
-                self.records[host.name] = HostRecord(host=host, now=now)
-                _LOGGER.info(
-                    "entry host added",
-                    extra={"host": host.name, "zone": host.zone.name},
-                )
-            elif record.host != host:
+                self._add(host, now)
+                continue
+            if record.unlisted_at_s is not None:
+                record.unlisted_at_s = None
+                record.leaving = False
+                self.generation += 1
+            if record.host != host:
+                if record.host.incarnation != host.incarnation:
+                    record.leaving = False
                 record.host = host
+                self.generation += 1
+
+    def add_known(
+        self, hosts: Iterable[model.HostInstance], *, now: float
+    ) -> None:
+        """Add hosts that are not known yet, by entries that may be old."""
+        for host in hosts:
+            if host.name != self.own.name and host.name not in self.records:
+                self._add(host, now)
+
+    def remove_listed(self, name: str, *, now: float) -> None:
+        """Record that the entry of a host was removed.
+
+        It stops, and counts until it has certainly stopped.
+        """
+        record = self.records.get(name)
+        if record is None or record.unlisted_at_s is not None:
+            return
+        record.unlisted_at_s = now
+        record.leaving = True
+        self.generation += 1
+        _LOGGER.info("entry of entry host removed", extra={"host": name})
+
+    def not_running(self) -> list[str]:
+        """Return the names of the hosts that are absent or leaving."""
+        return [
+            name
+            for name, record in self.records.items()
+            if record.absent or record.leaving
+        ]
+
+    def adopt_absent(
+        self, names: Iterable[str], *, now: float, source: str
+    ) -> None:
+        """Mark hosts as absent that another host calls so, and ask them.
+
+        A host that has just started has not heard of the others yet, and
+        would list those in look-up answers that stopped before.
+        """
+        for name in names:
+            record = self.records.get(name)
+            if record is None or record.heard or record.absent:
+                continue
+            record.ask_count = const.ASK_REPORTED_COUNT
+            self._mark_absent(
+                record, f"reported by {source}", now - record.heard_at_s
+            )
+
+    def lost(self, *, now: float) -> list[str]:
+        """Return the names of the hosts that have been absent for long."""
+        return [
+            name
+            for name, record in self.records.items()
+            if record.absent
+            and record.unlisted_at_s is None
+            and now - record.heard_at_s > const.LOST_AFTER_S
+        ]
+
+    def _add(self, host: model.HostInstance, now: float) -> None:
+        self.records[host.name] = HostRecord(host=host, now=now)
+        self.generation += 1
+        _LOGGER.info(
+            "entry host added",
+            extra={"host": host.name, "zone": host.zone.name},
+        )
+
+    def _forget_stopped(self, now: float) -> None:
+        for name, record in list(self.records.items()):
+            if (
+                record.unlisted_at_s is not None
+                and now - record.unlisted_at_s > const.FORGET_AFTER_S
+            ):
+                del self.records[name]
+                self.generation += 1
+                _LOGGER.info("entry host forgotten", extra={"host": name})
 
     def monitors(self) -> tuple[model.HostInstance, ...]:
         """Return the next hosts on the hash ring, which monitor this one."""
@@ -143,11 +228,17 @@
             for record in self.records.values():
                 record.heard_at_s = max(record.heard_at_s, now)
         self.last_tick_at_s = now
+        self._forget_stopped(now)
         if not self.is_ready():
             return []
         due = [OutgoingNotice(self._own_notice(const.BEAT), self.monitors())]
         for record in self.records.values():
             silent_s = now - record.heard_at_s
+            if record.ask_count and record.absent:
+                record.ask_count -= 1
+                due.append(
+                    OutgoingNotice(self._own_notice(const.ASK), (record.host,))
+                )
             if record.absent or not record.monitored:
                 continue
             if silent_s >= const.ABSENT_AFTER_S:
@@ -198,9 +289,11 @@
             self._mark_present(record, notice)
             return []
         record.heard_at_s = now
+        record.heard = True
         record.silent = False
         if notice.kind == const.LEAVING:
             record.leaving = True
+            self.generation += 1
             record.monitored = False
             _LOGGER.info("entry host is leaving", extra={"host": notice.name})
             return []
@@ -234,6 +327,7 @@
         if record.absent:
             return
         record.absent = True
+        self.generation += 1
         _LOGGER.info(
             "entry host is absent",
             extra={
@@ -247,8 +341,10 @@
         if notice.incarnation != record.host.incarnation:
             record.host = record.host._replace(incarnation=notice.incarnation)
             record.leaving = False
+            self.generation += 1
         if record.absent:
             record.absent = False
+            self.generation += 1
             _LOGGER.info(
                 "entry host is running again", extra={"host": notice.name}
             )
--- /dev/null
+++ b/src/samphirelug/components/following/__init__.py
@@ -0,0 +1,1 @@
+"""Follow the store through a few hosts that read it."""
--- /dev/null
+++ b/src/samphirelug/components/following/const.py
@@ -0,0 +1,46 @@
+"""Define times and limits of following the store through other hosts."""
+
+# Version of the frames; hosts with different versions read the store.
+PROTOCOL_VERSION = 1
+# Number of hosts that each host follows at the same time. When one of them
+# fails, changes still arrive through the other.
+SOURCES = 2
+# Number of hosts of an availability zone that relay changes to the others.
+RELAYS_PER_ZONE = 2
+# A region with this many hosts has two watchers, which read the store; a
+# smaller one has a single watcher.
+TWO_WATCHERS_FROM_HOSTS = 8
+# Candidates of a zone before those in other zones are tried.
+CANDIDATES_IN_ZONE = 4
+# Maximum number of candidates that a host tries.
+MAX_CANDIDATES = 8
+# Interval at which a host tells its followers how old its view is.
+BEAT_INTERVAL_S = 0.5
+# A source that has been silent this long is replaced.
+SILENT_AFTER_S = 1.5
+# Interval of the checks of sources and followers.
+TICK_INTERVAL_S = 0.25
+# A view older than this share of the time in which a change must be in force
+# makes the host read the store itself, as does one older than the maximum.
+STALE_RATIO = 0.6
+MAX_STALE_S = 2.0
+# Time that a starting host waits for its first view from its sources, while
+# it has any.
+START_PATIENCE_S = 2.0
+# Spread of the first reads of hosts whose sources have lost the store.
+STALE_SPREAD_S = 1.0
+# A host that reads the store since its sources failed goes on at least for
+# this long, so that it does not change back and forth.
+MIN_DIRECT_S = 3.0
+# A failed candidate is not tried again for this long, and one whose view was
+# too old for longer, so that all others are tried first.
+RETRY_CANDIDATE_AFTER_S = 3.0
+RETRY_OLD_CANDIDATE_AFTER_S = 10.0
+# Minimum time between two replacements of sources that are alive but old.
+REPLACE_INTERVAL_S = 1.0
+# A follower that has not taken a frame for this long is disconnected.
+CONGESTED_AFTER_S = 5.0
+# Largest frame; a list of 20,000 backend servers fits.
+MAX_FRAME_BYTES = 8 * 1024 * 1024
+# Maximum number of followers of one host.
+MAX_FOLLOWERS = 2_000
--- a/src/samphirelug/components/store/availability.py
+++ b/src/samphirelug/components/store/availability.py
@@ -64,6 +64,17 @@
             },
         )
 
+    def extend_grace(self, seconds: float) -> None:
+        """Let expired entries be written again, as another host reports."""
+        self.grace_until_s = max(
+            self.grace_until_s, self.timer.monotonic() + seconds
+        )
+
+    def stop_reading(self) -> None:
+        """End an outage without an answer, since this host stops calling."""
+        self.lost_at_s = None
+        self.prober = None
+
     def is_prober(self, follower: object) -> bool:
         """Return whether the follower calls the store during the outage."""
         return self.prober is follower
--- a/src/samphirelug/components/store/feed.py
+++ b/src/samphirelug/components/store/feed.py
@@ -62,12 +62,23 @@
 
     @abc.abstractmethod
     async def put(
-        self, kind: ObjectKind, name: str, value: dict[str, object]
+        self,
+        kind: ObjectKind,
+        name: str,
+        value: dict[str, object],
+        *,
+        probably_exists: bool = False,
     ) -> Result[int, result_codes.Refusal]:
-        """Create or replace an object; return its revision."""
+        """Create or replace an object; return its revision.
+
+        It takes one call if the object exists as assumed, else two.
+        """
 
     @abc.abstractmethod
     async def delete(
-        self, kind: ObjectKind, name: str
+        self, kind: ObjectKind, name: str, *, revision: int | None = None
     ) -> Result[None, result_codes.Refusal]:
-        """Remove an object; succeeds if there is none."""
+        """Remove an object; succeeds if there is none.
+
+        With a revision, an object that has changed since then stays.
+        """
--- a/src/samphirelug/components/store/follower.py
+++ b/src/samphirelug/components/store/follower.py
@@ -1,8 +1,7 @@
 """List and watch the objects of a kind, across outages of the store."""
 
-import abc
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable
 import logging
 import random
 
@@ -11,7 +10,7 @@
 
 from samphirelug.components.store import availability as store_availability
 from samphirelug.components.store import feed as store_feed
-from samphirelug.components.store import model
+from samphirelug.components.store import view as store_view
 from samphirelug.helpers import timer as timer_helper
 from samphirelug import result_codes
 
@@ -31,28 +30,6 @@
 WatchResult = Result[store_feed.Changes | None, result_codes.Refusal]
 
 
-class ObjectConsumer(abc.ABC):
-    """Receive the objects of a kind and their changes.
-
-    Objects that are missing or removed with a grace period above 0 may have
-    expired because of an outage of the store, and may be written again.
-    """
-
-    @abc.abstractmethod
-    def replace_all(
-        self, objects: Sequence[model.StoredObject], *, grace_s: float
-    ) -> None:
-        """Apply a complete list of objects."""
-
-    @abc.abstractmethod
-    def upsert(self, stored: model.StoredObject) -> None:
-        """Apply a new or changed object."""
-
-    @abc.abstractmethod
-    def remove(self, name: str, *, grace_s: float) -> None:
-        """Apply the removal of an object."""
-
-
 class ObjectFollower:
     """Keep a consumer up to date: list the objects, then watch them.
 
@@ -62,29 +39,41 @@
     def __init__(
         self,
         *,
-        kind: store_feed.ObjectKind,
         feed: store_feed.ObjectFeed,
-        consumer: ObjectConsumer,
+        view: store_view.ObjectView,
         availability: store_availability.StoreAvailability,
         timer: timer_helper.TimerService,
         rng: random.Random,
         pause_after_change_s: float = PAUSE_AFTER_CHANGE_S,
+        max_backoff_s: Callable[[], float] = lambda: MAX_BACKOFF_S,
     ) -> None:
-        self.kind = kind
+        self.kind = view.kind
         self.feed = feed
-        self.consumer = consumer
+        self.view = view
         self.availability = availability
         self.timer = timer
         self.rng = rng
         self.pause_after_change_s = pause_after_change_s
-        self.revision = 0
+        # Limit of the delay between calls that the store does not answer.
+        self.max_backoff_s = max_backoff_s
         self.backoff_s = INITIAL_BACKOFF_S
 
+    @property
+    def revision(self) -> int:
+        """Return the revision of the view, 0 if it shows nothing."""
+        return self.view.revision
+
     async def run(self) -> None:
-        """List and watch until cancelled."""
+        """List and watch until cancelled.
+
+        A view that shows a revision already is only watched, as long as the
+        store can continue from there.
+        """
+        needs_list = not self.revision
         while True:
-            if not await self._list():
+            if needs_list and not await self._list():
                 continue
+            needs_list = True
             while await self._watch():
                 pass
 
@@ -95,26 +84,26 @@
             return False
         self._handle_success()
         listing = answer.unwrap()
-        if listing.revision < self.revision:
+        known_revision = self.revision
+        if not self.view.replace_all(
+            listing, grace_s=self.availability.grace_remaining_s()
+        ):
             _LOGGER.warning(
                 "ignoring a list older than the known revision",
                 extra={
                     "kind": self.kind,
                     "revision": listing.revision,
-                    "known_revision": self.revision,
+                    "known_revision": known_revision,
                 },
             )
             await self._back_off()
             return False
-        self.revision = listing.revision
-        self.consumer.replace_all(
-            listing.objects, grace_s=self.availability.grace_remaining_s()
-        )
         return True
 
     async def _watch(self) -> bool:
         """Apply the next changes; return False if a new list is needed."""
-        answer = await self._watch_until_outage_ends()
+        after = self.revision
+        answer = await self._watch_until_outage_ends(after)
         if answer is None:
             return True
         if isinstance(answer, Failure):
@@ -122,25 +111,23 @@
             return True
         self._handle_success()
         changes = answer.unwrap()
-        if changes is None or changes.revision < self.revision:
+        if changes is None or changes.revision < after:
             _LOGGER.info(
                 "store cannot continue from the known revision, listing again",
                 extra={"kind": self.kind, "revision": self.revision},
             )
             return False
-        self.revision = changes.revision
-        for event in changes.events:
-            if isinstance(event, store_feed.Removal):
-                self.consumer.remove(
-                    event.name, grace_s=self.availability.grace_remaining_s()
-                )
-            else:
-                self.consumer.upsert(event)
+        self.view.apply(
+            changes.events,
+            after=after,
+            revision=changes.revision,
+            grace_s=self.availability.grace_remaining_s(),
+        )
         if changes.events:
             await self.timer.sleep(self.pause_after_change_s)
         return True
 
-    async def _watch_until_outage_ends(self) -> WatchResult | None:
+    async def _watch_until_outage_ends(self, after: int) -> WatchResult | None:
         """Return the result of a watch, or None if an outage ended meanwhile.
 
         A connection that was open during an outage may never carry data
@@ -153,7 +140,7 @@
         watch_task = asyncio.ensure_future(
             self.feed.watch(
                 self.kind,
-                after=self.revision,
+                after=after,
                 timeout_s=PROBE_WATCH_TIMEOUT_S
                 if unavailable
                 else WATCH_TIMEOUT_S,
@@ -186,7 +173,7 @@
 
     async def _back_off(self) -> None:
         await self.timer.sleep(self.backoff_s * self.rng.uniform(0.5, 1.0))
-        self.backoff_s = min(MAX_BACKOFF_S, 2 * self.backoff_s)
+        self.backoff_s = min(self.max_backoff_s(), 2 * self.backoff_s)
 
     def _handle_success(self) -> None:
         self.backoff_s = INITIAL_BACKOFF_S
--- a/src/samphirelug/components/store/io_transport.py
+++ b/src/samphirelug/components/store/io_transport.py
@@ -19,7 +19,8 @@
 REQUEST_TIMEOUT_S = 2.0
 # Lists may take longer: a whole catalogue can have many megabytes.
 LIST_TIMEOUT_S = 10.0
-MAX_CONCURRENT_CALLS = 32
+# A watch that is given up keeps its place until the store answers it.
+MAX_CONCURRENT_CALLS = 128
 # Messages of the HTTP client's timeouts that occur before a call is sent.
 UNSENT_TIMEOUT_MESSAGES = (
     "Timeout while connecting",
--- /dev/null
+++ b/src/samphirelug/components/store/view.py
@@ -0,0 +1,152 @@
+"""Hold what is known of the objects of a kind, and its latest changes.
+
+The objects come from the store or from another entry host. Either may be
+behind the other, so that a view accepts only what is newer, and tells others
+the changes since any revision that it still knows.
+"""
+
+import abc
+import collections
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from samphirelug.components.store import feed
+from samphirelug.components.store import model
+
+# Sets of changes that a view keeps for hosts that follow it. A host that is
+# further behind gets all objects.
+MAX_DELTAS = 256
+
+Event = model.StoredObject | feed.Removal
+
+
+class ObjectConsumer(abc.ABC):
+    """Receive the objects of a kind and their changes.
+
+    Objects that are missing or removed with a grace period above 0 may have
+    expired because of an outage of the store, and may be written again.
+    """
+
+    @abc.abstractmethod
+    def replace_all(
+        self, objects: Sequence[model.StoredObject], *, grace_s: float
+    ) -> None:
+        """Apply a complete list of objects."""
+
+    @abc.abstractmethod
+    def upsert(self, stored: model.StoredObject) -> None:
+        """Apply a new or changed object."""
+
+    @abc.abstractmethod
+    def remove(self, name: str, *, grace_s: float) -> None:
+        """Apply the removal of an object."""
+
+
+class Delta(NamedTuple):
+    """Hold what changed after a revision, up to another one.
+
+    It brings every state between the two revisions to the second one, since
+    each object appears at most once, with its last change.
+    """
+
+    after: int
+    revision: int
+    events: tuple[Event, ...]
+    # Whether the events are all objects, and others do not exist.
+    is_complete: bool = False
+
+
+class ObjectView:
+    """Keep the objects of a kind, whose revision never decreases."""
+
+    def __init__(
+        self, *, kind: feed.ObjectKind, consumer: ObjectConsumer
+    ) -> None:
+        self.kind = kind
+        self.consumer = consumer
+        # Revision of the store that the view shows; 0 if it shows nothing.
+        self.revision = 0
+        self.objects: dict[str, model.StoredObject] = {}
+        self.deltas: collections.deque[Delta] = collections.deque(
+            maxlen=MAX_DELTAS
+        )
+        # Called after each new revision.
+        self.on_changed: list[Callable[[], None]] = []
+
+    def replace_all(self, listing: model.Listing, *, grace_s: float) -> bool:
+        """Apply all objects; return False if they are older than the view."""
+        if listing.revision < self.revision:
+            return False
+        self.revision = listing.revision
+        self.objects = {stored.key: stored for stored in listing.objects}
+        self.deltas.clear()
+        self.consumer.replace_all(listing.objects, grace_s=grace_s)
+        self._notify()
+        return True
+
+    def apply(
+        self,
+        events: Iterable[Event],
+        *,
+        after: int,
+        revision: int,
+        grace_s: float,
+    ) -> bool:
+        """Apply all changes after a revision, up to another one.
+
+        Returns False if changes are missing between the view and the first
+        revision, and ignores changes that the view already shows.
+        """
+        if after > self.revision:
+            return False
+        if revision <= self.revision:
+            return True
+        delta = Delta(self.revision, revision, last_events(events))
+        self.revision = revision
+        for event in delta.events:
+            if isinstance(event, feed.Removal):
+                self.objects.pop(event.name, None)
+                self.consumer.remove(event.name, grace_s=grace_s)
+            else:
+                self.objects[event.key] = event
+                self.consumer.upsert(event)
+        if delta.events or not self.deltas:
+            self.deltas.append(delta)
+        else:
+            # Nothing changed: extends the last set of changes.
+            self.deltas[-1] = self.deltas[-1]._replace(revision=revision)
+        self._notify()
+        return True
+
+    def since(self, revision: int) -> Delta:
+        """Return what changed after a revision, or all objects."""
+        if revision >= self.revision:
+            return Delta(self.revision, self.revision, ())
+        if not self.deltas or revision < self.deltas[0].after:
+            return Delta(0, self.revision, tuple(self.objects.values()), True)
+        return Delta(
+            revision,
+            self.revision,
+            last_events(
+                event
+                for delta in self.deltas
+                if delta.revision > revision
+                for event in delta.events
+            ),
+        )
+
+    def _notify(self) -> None:
+        for listener in self.on_changed:
+            listener()
+
+
+def last_events(events: Iterable[Event]) -> tuple[Event, ...]:
+    """Return the last event of each object, in the order of these."""
+    by_name: dict[str, Event] = {}
+    for event in events:
+        name = event.name if isinstance(event, feed.Removal) else event.key
+        by_name.pop(name, None)
+        by_name[name] = event
+    return tuple(by_name.values())
--- a/src/samphirelug/forwarding_host.py
+++ b/src/samphirelug/forwarding_host.py
@@ -15,11 +15,15 @@
 from samphirelug.components.fleet import decoder as fleet_decoder
 from samphirelug.components.fleet import enrolment
 from samphirelug.components.fleet import evacuations as fleet_evacuations
+from samphirelug.components.fleet import host_entries
 from samphirelug.components.fleet import io_datagrams
 from samphirelug.components.fleet import isolation
 from samphirelug.components.fleet import model as fleet_model
 from samphirelug.components.fleet import registry as fleet_registry
 from samphirelug.components.fleet import roster as fleet_roster
+from samphirelug.components.following import const as following_const
+from samphirelug.components.following import coordinator as follow_coordinator
+from samphirelug.components.following import io_websockets
 from samphirelug.components.forwarding import forwarder
 from samphirelug.components.forwarding import request_log
 from samphirelug.components.forwarding import retry_window
@@ -34,6 +38,7 @@
 from samphirelug.components.store import availability as store_availability
 from samphirelug.components.store import feed as store_feed
 from samphirelug.components.store import follower
+from samphirelug.components.store import view as store_view
 from samphirelug import forwarding_settings
 from samphirelug.helpers import timer as timer_helper
 
@@ -47,12 +52,18 @@
 # A connection that was idle for less than this when the host stops may have a
 # request on its way.
 MIN_IDLE_BEFORE_CLOSE_S = 0.5
-# Pause after received changes of backend servers, as a fraction of the time
-# within which hosts must act on a draining server. The rest of that time
-# allows for a slow store and for a connection that must be opened again.
-SERVER_PAUSE_FRACTION = 0.35
+# Longest delay between calls to a store that does not answer, of a host that
+# reads it only since the hosts that it follows cannot.
+MAX_BACKOFF_S = 2.5
+# Interval at which a host that reads the store for others looks for hosts
+# that were lost for good.
+LOST_HOSTS_INTERVAL_S = 60.0
 # Delay before a task is started again that ended with an unexpected error.
 TASK_RESTART_DELAY_S = 1.0
+# Time that a host looks for others before it reads the store itself, and the
+# interval at which it checks for their entries.
+SEARCH_PATIENCE_S = 1.0
+FOLLOW_POLL_INTERVAL_S = 0.05
 # Interval at which the gauge samphirelug_belief is updated.
 BELIEF_INTERVAL_S = 1.0
 
@@ -91,9 +102,6 @@
         self.notice_protocol = io_datagrams.NoticeProtocol(
             roster=self.roster, timer=timer
         )
-        self.enrolment = enrolment.Enrolment(
-            feed=feed, protocol=self.notice_protocol, timer=timer
-        )
         self.availability = store_availability.StoreAvailability(timer=timer)
         self.isolation = isolation.IsolationDetector(
             availability=self.availability, roster=self.roster, timer=timer
@@ -113,6 +121,37 @@
             ),
         )
         self.sender.on_leaving.append(self._mark_leaving)
+        self.views = self._build_views(decoder)
+        self.coordinator = follow_coordinator.FollowCoordinator(
+            own=self.roster.own,
+            roster=self.roster,
+            registry=self.registry,
+            views=self.views,
+            availability=self.availability,
+            dialer=io_websockets.WebsocketDialer(),
+            timer=timer,
+            rng=random.Random(),
+            drain_s=settings.drain_s,
+            set_direct=self._set_direct,
+        )
+        self.followers = {
+            kind: follower.ObjectFollower(
+                feed=feed,
+                view=view,
+                availability=self.availability,
+                timer=timer,
+                rng=random.Random(),
+                max_backoff_s=self._max_backoff_s,
+            )
+            for kind, view in self.views.items()
+        }
+        self.enrolment = enrolment.Enrolment(
+            feed=feed,
+            protocol=self.notice_protocol,
+            view=self.views[store_feed.ObjectKind.ENTRY_HOSTS],
+            timer=timer,
+            first_start=settings.first_start,
+        )
         self.registry.on_removed.append(self.sender.close_idle)
         self.listener = io_pipeline.CallerListener(
             handler=handler.ForwardingHandler(
@@ -134,15 +173,15 @@
             limits=self._caller_limits,
             timer=timer,
         )
-        self.followers = self._build_followers(feed, decoder)
         self.roster.evacuations = fleet_evacuations.EvacuationExchange(
-            follower=self.followers[store_feed.ObjectKind.EVACUATIONS],
+            view=self.views[store_feed.ObjectKind.EVACUATIONS],
             registry=self.registry,
-            timer=timer,
         )
         self.stopping = asyncio.Event()
         self.roster.is_ready = lambda: self.ready
         self.tasks: list[asyncio.Task[None]] = []
+        # Tasks that read the store, while this host does.
+        self.reading_tasks: list[asyncio.Task[None]] = []
 
     @property
     def ready(self) -> bool:
@@ -153,7 +192,7 @@
         """
         return (
             self.configuration.table is not None
-            and all(item.revision for item in self.followers.values())
+            and self.coordinator.is_complete
             and not self.stopping.is_set()
         )
 
@@ -179,13 +218,22 @@
         self.timer.subscribe(
             interval_s=BELIEF_INTERVAL_S, callback=self._update_beliefs
         )
+        io_websockets.serve(
+            self.coordinator,
+            host=self.settings.peers.host,
+            port=self.settings.peers.port,
+        )
         self.tasks = [
-            asyncio.ensure_future(self.run_forever(item.run, name=kind))
-            for kind, item in self.followers.items()
+            asyncio.ensure_future(
+                self.run_forever(self.enrolment.run, name="enrolment")
+            ),
+            asyncio.ensure_future(
+                self.run_forever(self._remove_lost_hosts, name="lost hosts")
+            ),
         ]
         self.tasks.append(
             asyncio.ensure_future(
-                self.run_forever(self.enrolment.run, name="enrolment")
+                self.run_forever(self._follow, name="following")
             )
         )
         _LOGGER.info(
@@ -200,6 +248,45 @@
         await self.stopping.wait()
         await self._stop()
 
+    async def _follow(self) -> None:
+        """Follow the store once the other hosts have been looked for.
+
+        If the store does not answer that, this host keeps trying to read it.
+        """
+        started_at_s = self.timer.monotonic()
+        while not self.enrolment.searched and (
+            self.settings.first_start
+            or self.timer.monotonic() - started_at_s < SEARCH_PATIENCE_S
+        ):
+            await self.timer.sleep(FOLLOW_POLL_INTERVAL_S)
+        while True:
+            self.coordinator.tick()
+            await self.timer.sleep(following_const.TICK_INTERVAL_S)
+
+    def _set_direct(self, direct: bool) -> None:
+        """Start or stop reading the store."""
+        for task in self.reading_tasks:
+            task.cancel()
+        self.reading_tasks = []
+        if not direct:
+            self.availability.stop_reading()
+            return
+        self.reading_tasks = [
+            asyncio.ensure_future(self.run_forever(item.run, name=kind))
+            for kind, item in self.followers.items()
+        ]
+
+    def _max_backoff_s(self) -> float:
+        if self.coordinator.plan.is_watcher:
+            return follower.MAX_BACKOFF_S
+        return MAX_BACKOFF_S
+
+    async def _remove_lost_hosts(self) -> None:
+        while True:
+            await self.timer.sleep(LOST_HOSTS_INTERVAL_S)
+            if self.coordinator.plan.is_watcher:
+                await self.enrolment.remove_lost_hosts()
+
     async def run_forever(
         self, run: Callable[[], Awaitable[None]], *, name: str
     ) -> None:
@@ -232,7 +319,8 @@
             if not (self.listener.busy or self.listener.connections):
                 break
             await self.timer.sleep(STOP_POLL_INTERVAL_S)
-        for task in (*self.tasks, deregistration):
+        self.coordinator.close()
+        for task in (*self.tasks, *self.reading_tasks, deregistration):
             task.cancel()
         _LOGGER.info(
             "entry host stopped",
@@ -252,12 +340,10 @@
             return io_pipeline.DEFAULT_LIMITS
         return configuration.limits
 
-    def _build_followers(
-        self,
-        feed: store_feed.ObjectFeed,
-        decoder: fleet_decoder.ObjectDecoder,
-    ) -> dict[store_feed.ObjectKind, follower.ObjectFollower]:
-        kinds: dict[store_feed.ObjectKind, follower.ObjectConsumer] = {
+    def _build_views(
+        self, decoder: fleet_decoder.ObjectDecoder
+    ) -> dict[store_feed.ObjectKind, store_view.ObjectView]:
+        kinds: dict[store_feed.ObjectKind, store_view.ObjectConsumer] = {
             store_feed.ObjectKind.CONFIGURATION: (
                 consumers.ConfigurationConsumer(
                     state=self.configuration, decoder=decoder, timer=self.timer
@@ -269,26 +355,12 @@
             store_feed.ObjectKind.EVACUATIONS: consumers.EvacuationConsumer(
                 registry=self.registry, timer=self.timer
             ),
-        }
-        # Kinds differ in how soon their changes must be in force. The default
-        # pause suits those that are not listed.
-        pauses_s = {
-            store_feed.ObjectKind.BACKEND_SERVERS: (
-                SERVER_PAUSE_FRACTION * self.settings.drain_s
+            store_feed.ObjectKind.ENTRY_HOSTS: host_entries.HostConsumer(
+                roster=self.roster, timer=self.timer
             ),
         }
         return {
-            kind: follower.ObjectFollower(
-                kind=kind,
-                feed=feed,
-                consumer=consumer,
-                availability=self.availability,
-                timer=self.timer,
-                rng=random.Random(),
-                pause_after_change_s=pauses_s.get(
-                    kind, follower.PAUSE_AFTER_CHANGE_S
-                ),
-            )
+            kind: store_view.ObjectView(kind=kind, consumer=consumer)
             for kind, consumer in kinds.items()
         }
 
@@ -296,6 +368,11 @@
         self.metrics.set_belief("version", self.configuration.version)
         self.metrics.set_belief("servers", len(self.registry.servers))
         self.metrics.set_belief("entry_hosts", self.roster.count or 0)
+        age_s = self.coordinator.age_s(self.timer.monotonic())
+        self.metrics.set_belief("view_age_s", age_s)
+        self.metrics.set_belief("reads_store", self.coordinator.direct)
+        self.metrics.set_belief("sources", len(self.coordinator.sources))
+        self.metrics.set_belief("followers", len(self.coordinator.followers))
 
 
 class ReadyHandler(web.RequestHandler):
--- a/src/samphirelug/forwarding_settings.py
+++ b/src/samphirelug/forwarding_settings.py
@@ -59,3 +59,6 @@
     # Time within which hosts stop sending new requests to a draining server.
     drain_s: float
     resources: HostResources
+    # Whether the whole system starts for the first time, so that the other
+    # hosts are just starting too.
+    first_start: bool = False
--- a/tests/components/fleet/test_enrolment.py
+++ b/tests/components/fleet/test_enrolment.py
@@ -7,12 +7,15 @@
 from returns.result import Result
 from returns.result import Success
 
+from samphirelug.components.fleet import const
 from samphirelug.components.fleet import enrolment
+from samphirelug.components.fleet import host_entries
 from samphirelug.components.fleet import io_datagrams
 from samphirelug.components.fleet import model as fleet_model
 from samphirelug.components.fleet import roster as fleet_roster
 from samphirelug.components.store import feed
 from samphirelug.components.store import model
+from samphirelug.components.store import view
 from samphirelug import core
 from samphirelug.helpers import timer as timer_helper
 from samphirelug import result_codes
@@ -38,23 +41,30 @@
 class HostFeed(feed.ObjectFeed):
     """List two hosts and accept or refuse writes."""
 
-    def __init__(self, *, writable: bool) -> None:
+    def __init__(self, *, writable: bool = True) -> None:
         self.writable = writable
+        self.hosts = ["h0", "h1"]
         self.calls: list[str] = []
 
+    def listing(self) -> model.Listing:
+        """Return the entries of the hosts."""
+        return model.Listing(
+            1,
+            tuple(
+                model.StoredObject(
+                    name, 1, host_entries.encode(make_host(name))
+                )
+                for name in self.hosts
+            ),
+        )
+
     async def list(
         self, kind: feed.ObjectKind, *, allow_stale: bool = False
     ) -> Result[model.Listing, result_codes.Refusal]:
-        """Return both hosts."""
+        """Return the hosts."""
         del kind
         self.calls.append("stale list" if allow_stale else "list")
-        hosts = tuple(
-            model.StoredObject(
-                host.name, 1, {**host._asdict(), "zone": host.zone._asdict()}
-            )
-            for host in (make_host("h0"), make_host("h1"))
-        )
-        return Success(model.Listing(1, hosts))
+        return Success(self.listing())
 
     async def watch(
         self, kind: feed.ObjectKind, *, after: int, timeout_s: float
@@ -63,18 +73,24 @@
         raise NotImplementedError
 
     async def put(
-        self, kind: feed.ObjectKind, name: str, value: dict[str, object]
+        self,
+        kind: feed.ObjectKind,
+        name: str,
+        value: dict[str, object],
+        *,
+        probably_exists: bool = False,
     ) -> Result[int, result_codes.Refusal]:
         """Accept or refuse the registration."""
         del kind, name, value
-        self.calls.append("put")
-        return Success(1) if self.writable else UNAVAILABLE
+        self.calls.append("replace" if probably_exists else "create")
+        return Success(2) if self.writable else UNAVAILABLE
 
     async def delete(
-        self, kind: feed.ObjectKind, name: str
+        self, kind: feed.ObjectKind, name: str, *, revision: int | None = None
     ) -> Result[None, result_codes.Refusal]:
         """Accept the removal."""
-        del kind, name
+        del kind
+        self.calls.append(f"delete {name} {revision}")
         return Success(None)
 
 
@@ -97,38 +113,94 @@
         self.started += 1
 
 
-async def enrol(host_feed: HostFeed) -> SilentProtocol:
-    """Run the enrolment for a while."""
-    timer = InstantTimer()
-    protocol = SilentProtocol(
-        roster=fleet_roster.HostRoster(own=make_host("h0")), timer=timer
-    )
-    task = asyncio.ensure_future(
-        enrolment.Enrolment(
-            feed=host_feed, protocol=protocol, timer=timer
-        ).run()
-    )
-    for _ in range(PASSES):
-        await asyncio.sleep(0)
-    task.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await task
-    return protocol
+class Setup:
+    """Hold an enrolment and what it works on."""
+
+    def __init__(self, host_feed: HostFeed) -> None:
+        self.feed = host_feed
+        self.timer = InstantTimer()
+        self.roster = fleet_roster.HostRoster(own=make_host("h0"))
+        self.protocol = SilentProtocol(roster=self.roster, timer=self.timer)
+        self.view = view.ObjectView(
+            kind=feed.ObjectKind.ENTRY_HOSTS,
+            consumer=host_entries.HostConsumer(
+                roster=self.roster, timer=self.timer
+            ),
+        )
+        self.enrolment = enrolment.Enrolment(
+            feed=host_feed,
+            protocol=self.protocol,
+            view=self.view,
+            timer=self.timer,
+            first_start=False,
+        )
+
+    async def run(self) -> None:
+        """Run the enrolment for a while."""
+        task = asyncio.ensure_future(self.enrolment.run())
+        for _ in range(PASSES):
+            await asyncio.sleep(0)
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+
+
+def test_entries_that_may_be_old_do_not_count_as_the_number_of_hosts() -> None:
+    """Guard against shares that are too large after a restart of many hosts.
+
+    An old list may lack hosts that have just started too.
+    """
+    setup = Setup(HostFeed())
+    asyncio.run(setup.run())
+    assert set(setup.roster.records) == {"h1"}
+    assert setup.roster.count is None
+    assert setup.protocol.started == 0
+    setup.view.replace_all(setup.feed.listing(), grace_s=0.0)
+    assert setup.roster.count == 2
+    asyncio.run(setup.run())
+    assert setup.protocol.started == 1
 
 
 def test_hosts_are_counted_while_the_store_refuses_the_registration() -> None:
     """Guard against a host that cannot register and never knows the others."""
-    protocol = asyncio.run(enrol(HostFeed(writable=False)))
-    assert protocol.roster.count == 2
-    assert protocol.started == 0
+    setup = Setup(HostFeed(writable=False))
+    setup.view.replace_all(setup.feed.listing(), grace_s=0.0)
+    asyncio.run(setup.run())
+    assert setup.roster.count == 2
+    assert setup.protocol.started == 0
+
+
+def test_start_takes_one_cheap_list_and_one_write() -> None:
+    """Guard against calls for each host that grow with the fleet."""
+    setup = Setup(HostFeed())
+    setup.view.replace_all(setup.feed.listing(), grace_s=0.0)
+    asyncio.run(setup.run())
+    assert setup.feed.calls == ["stale list", "replace"]
+
+
+def test_host_whose_entry_was_removed_registers_again() -> None:
+    """Guard against a host that was out of touch and stays unknown."""
+    setup = Setup(HostFeed())
+    asyncio.run(setup.run())
+    setup.feed.calls.clear()
+    setup.view.replace_all(
+        model.Listing(9, setup.feed.listing().objects[1:]), grace_s=0.0
+    )
+    asyncio.run(setup.run())
+    assert "replace" in setup.feed.calls
 
 
-def test_first_list_after_the_registration_is_not_stale() -> None:
-    """Guard against a first list without the hosts that start together."""
-    host_feed = HostFeed(writable=True)
-    protocol = asyncio.run(enrol(host_feed))
-    assert host_feed.calls[:3] == ["put", "list", "stale list"]
-    assert protocol.started == 1
+def test_entries_of_lost_hosts_are_removed() -> None:
+    """Guard against a list that grows with each replaced host."""
+    setup = Setup(HostFeed())
+    setup.view.replace_all(setup.feed.listing(), grace_s=0.0)
+    record = setup.roster.records["h1"]
+    record.absent = True
+    asyncio.run(setup.enrolment.remove_lost_hosts())
+    setup.timer.now_s += const.LOST_AFTER_S + 1
+    assert setup.feed.calls == []
+    asyncio.run(setup.enrolment.remove_lost_hosts())
+    assert setup.feed.calls == ["delete h1 1"]
 
 
 def test_malformed_host_objects_are_ignored() -> None:
@@ -158,5 +230,6 @@
                 listing._replace(objects=listing.objects + malformed)
             )
 
-    protocol = asyncio.run(enrol(MalformedFeed(writable=True)))
-    assert set(protocol.roster.records) == {"h1"}
+    setup = Setup(MalformedFeed())
+    asyncio.run(setup.run())
+    assert set(setup.roster.records) == {"h1"}
--- a/tests/components/fleet/test_evacuations.py
+++ b/tests/components/fleet/test_evacuations.py
@@ -1,8 +1,5 @@
 """Test that entry hosts tell each other which zones are evacuated."""
 
-import random
-from typing import cast
-
 import pytest
 
 from samphirelug.components.fleet import const
@@ -12,10 +9,9 @@
 from samphirelug.components.fleet import model
 from samphirelug.components.fleet import registry as fleet_registry
 from samphirelug.components.fleet import roster as fleet_roster
-from samphirelug.components.store import availability as store_availability
 from samphirelug.components.store import feed
-from samphirelug.components.store import follower
 from samphirelug.components.store import model as store_model
+from samphirelug.components.store import view
 from samphirelug import core
 from samphirelug.helpers import timer as timer_helper
 
@@ -33,14 +29,8 @@
         self.consumer = consumers.EvacuationConsumer(
             registry=self.registry, timer=timer
         )
-        self.follower = follower.ObjectFollower(
-            kind=feed.ObjectKind.EVACUATIONS,
-            # Tests apply changes directly.
-            feed=cast("feed.ObjectFeed", None),
-            consumer=self.consumer,
-            availability=store_availability.StoreAvailability(timer=timer),
-            timer=timer,
-            rng=random.Random(1),
+        self.view = view.ObjectView(
+            kind=feed.ObjectKind.EVACUATIONS, consumer=self.consumer
         )
         self.roster = fleet_roster.HostRoster(
             own=model.HostInstance(
@@ -48,14 +38,19 @@
             )
         )
         self.roster.evacuations = evacuations.EvacuationExchange(
-            follower=self.follower, registry=self.registry, timer=timer
+            view=self.view, registry=self.registry
         )
 
     def read_store(self, revision: int, *zones: str) -> None:
         """Apply a list of the store."""
-        self.follower.revision = revision
-        self.consumer.replace_all(
-            [store_model.StoredObject(zone, revision, {}) for zone in zones],
+        self.view.replace_all(
+            store_model.Listing(
+                revision,
+                tuple(
+                    store_model.StoredObject(zone, revision, {})
+                    for zone in zones
+                ),
+            ),
             grace_s=0.0,
         )
 
@@ -129,14 +124,14 @@
     notice = older.roster.start_notice().notice
     newer.roster.receive(notice, now=0.0)
     assert newer.registry.evacuated_zones == {ZONE}
-    assert newer.follower.revision == 12
+    assert newer.view.revision == 12
 
 
 def test_host_that_has_not_read_the_store_tells_nothing() -> None:
     """Guard against a starting host that ends evacuations on others."""
     fleet = Fleet()
     starting = fleet.hosts["h1"]
-    starting.follower.revision = 0
+    starting.view.revision = 0
     assert starting.roster.start_notice().notice.evacuations is None
 
 
--- a/tests/components/fleet/test_roster.py
+++ b/tests/components/fleet/test_roster.py
@@ -205,3 +205,46 @@
     assert roster.count is None
     roster.update_from_list([make_host("h0"), make_host("h1")], now=0.0)
     assert roster.count == 2
+
+
+def test_hosts_that_stopped_are_forgotten() -> None:
+    """Guard against shares that shrink with each host that was replaced.
+
+    A host that is only absent goes on counting, since it may still serve
+    callers and takes its share of what hosts have together.
+    """
+    fleet = Fleet(4)
+    fleet.run(5)
+    fleet.stopped.update(("h1", "h2"))
+    roster = fleet.rosters["h0"]
+    roster.remove_listed("h1", now=fleet.now)
+    assert roster.count == 4
+    assert "h1" not in fleet.serving_names("h0")
+    fleet.run(const.FORGET_AFTER_S + 2)
+    assert roster.count == 3
+    assert "h2" in roster.records
+
+
+def test_host_that_registers_again_is_listed_again() -> None:
+    """Guard against a restarted host that stays out of look-up answers."""
+    fleet = Fleet(4)
+    fleet.run(5)
+    roster = fleet.rosters["h0"]
+    roster.remove_listed("h1", now=fleet.now)
+    assert "h1" not in fleet.serving_names("h0")
+    roster.update_from_list([make_host("h1")], now=fleet.now)
+    assert "h1" in fleet.serving_names("h0")
+
+
+def test_starting_host_adopts_which_hosts_are_absent() -> None:
+    """Guard against look-up answers with hosts that stopped long ago.
+
+    A host that is called absent by mistake answers and is listed again.
+    """
+    fleet = Fleet(5)
+    fleet.stopped.add("h1")
+    starting = fleet.rosters["h0"]
+    starting.adopt_absent(["h1", "h2"], now=0.0, source="h3")
+    assert fleet.serving_names("h0") == {"h3", "h4"}
+    fleet.run(2)
+    assert fleet.serving_names("h0") == {"h2", "h3", "h4"}
--- a/tests/components/store/test_follower.py
+++ b/tests/components/store/test_follower.py
@@ -13,6 +13,7 @@
 from samphirelug.components.store import feed
 from samphirelug.components.store import follower
 from samphirelug.components.store import model
+from samphirelug.components.store import view as store_view
 from samphirelug.helpers import timer as timer_helper
 from samphirelug import result_codes
 
@@ -52,13 +53,18 @@
         return await self._next(f"watch {after}")  # type: ignore[return-value]
 
     async def put(
-        self, kind: feed.ObjectKind, name: str, value: dict[str, object]
+        self,
+        kind: feed.ObjectKind,
+        name: str,
+        value: dict[str, object],
+        *,
+        probably_exists: bool = False,
     ) -> Result[int, result_codes.Refusal]:
         """Raise an error, since followers do not write."""
         raise NotImplementedError
 
     async def delete(
-        self, kind: feed.ObjectKind, name: str
+        self, kind: feed.ObjectKind, name: str, *, revision: int | None = None
     ) -> Result[None, result_codes.Refusal]:
         """Raise an error, since followers do not write."""
         raise NotImplementedError
@@ -73,7 +79,7 @@
         return self.script.pop(0)  # type: ignore[return-value]
 
 
-class RecordingConsumer(follower.ObjectConsumer):
+class RecordingConsumer(store_view.ObjectConsumer):
     """Record the calls of the follower.
 
     A flag next to names says whether they came with a grace period.
@@ -116,9 +122,10 @@
         scripted_feed.timer = InstantTimer()
         consumer = RecordingConsumer()
         object_follower = follower.ObjectFollower(
-            kind=feed.ObjectKind.BACKEND_SERVERS,
             feed=scripted_feed,
-            consumer=consumer,
+            view=store_view.ObjectView(
+                kind=feed.ObjectKind.BACKEND_SERVERS, consumer=consumer
+            ),
             availability=store_availability.StoreAvailability(
                 timer=scripted_feed.timer
             ),
@@ -239,9 +246,11 @@
             timer=hanging_feed.timer
         )
         object_follower = follower.ObjectFollower(
-            kind=feed.ObjectKind.BACKEND_SERVERS,
             feed=hanging_feed,
-            consumer=RecordingConsumer(),
+            view=store_view.ObjectView(
+                kind=feed.ObjectKind.BACKEND_SERVERS,
+                consumer=RecordingConsumer(),
+            ),
             availability=availability,
             timer=hanging_feed.timer,
             rng=random.Random(1),
@@ -296,9 +305,10 @@
         )
         scripted_feed.timer = InstantTimer()
         object_follower = follower.ObjectFollower(
-            kind=feed.ObjectKind.EVACUATIONS,
             feed=scripted_feed,
-            consumer=RecordingConsumer(),
+            view=store_view.ObjectView(
+                kind=feed.ObjectKind.EVACUATIONS, consumer=RecordingConsumer()
+            ),
             availability=store_availability.StoreAvailability(
                 timer=scripted_feed.timer
             ),
@@ -339,9 +349,11 @@
         timer = RecordingTimer()
         scripted_feed.timer = timer
         object_follower = follower.ObjectFollower(
-            kind=feed.ObjectKind.BACKEND_SERVERS,
             feed=scripted_feed,
-            consumer=RecordingConsumer(),
+            view=store_view.ObjectView(
+                kind=feed.ObjectKind.BACKEND_SERVERS,
+                consumer=RecordingConsumer(),
+            ),
             availability=store_availability.StoreAvailability(timer=timer),
             timer=timer,
             rng=random.Random(1),
--- /dev/null
+++ b/tests/components/store/test_view.py
@@ -0,0 +1,144 @@
+"""Test views of objects that are fed by several sources."""
+
+from collections.abc import Sequence
+
+from samphirelug.components.store import feed
+from samphirelug.components.store import model
+from samphirelug.components.store import view as store_view
+
+
+class Consumer(store_view.ObjectConsumer):
+    """Hold the objects and record the calls."""
+
+    def __init__(self) -> None:
+        self.objects: dict[str, int] = {}
+        self.calls: list[str] = []
+
+    def replace_all(
+        self, objects: Sequence[model.StoredObject], *, grace_s: float
+    ) -> None:
+        """Replace all objects."""
+        del grace_s
+        self.objects = {stored.key: stored.revision for stored in objects}
+        self.calls.append("replace")
+
+    def upsert(self, stored: model.StoredObject) -> None:
+        """Add or replace an object."""
+        self.objects[stored.key] = stored.revision
+        self.calls.append(f"put {stored.key}")
+
+    def remove(self, name: str, *, grace_s: float) -> None:
+        """Remove an object."""
+        del grace_s
+        del self.objects[name]
+        self.calls.append(f"remove {name}")
+
+
+def stored(key: str, revision: int) -> model.StoredObject:
+    """Return an object without fields."""
+    return model.StoredObject(key, revision, {})
+
+
+def make_view(
+    revision: int = 5, *names: str
+) -> tuple[store_view.ObjectView, Consumer]:
+    """Return a view that shows the objects, and its consumer."""
+    consumer = Consumer()
+    view = store_view.ObjectView(
+        kind=feed.ObjectKind.BACKEND_SERVERS, consumer=consumer
+    )
+    view.replace_all(
+        model.Listing(
+            revision, tuple(stored(name, revision) for name in names)
+        ),
+        grace_s=0.0,
+    )
+    consumer.calls.clear()
+    return view, consumer
+
+
+def apply(
+    view: store_view.ObjectView,
+    after: int,
+    revision: int,
+    *events: store_view.Event,
+) -> bool:
+    """Apply events."""
+    return view.apply(events, after=after, revision=revision, grace_s=0.0)
+
+
+def test_same_changes_from_two_sources_are_applied_once() -> None:
+    """Guard against a server that is added again after its removal."""
+    view, consumer = make_view(5, "a")
+    assert apply(view, 5, 8, stored("b", 6), feed.Removal("a"))
+    assert apply(view, 5, 7, stored("b", 6))
+    assert apply(view, 5, 8, stored("b", 6), feed.Removal("a"))
+    assert consumer.objects == {"b": 6}
+    assert len(consumer.calls) == 2
+
+
+def test_overlapping_changes_lead_to_the_latest_state() -> None:
+    """Guard against the removal of an object that was written again."""
+    view, consumer = make_view(5, "a")
+    assert apply(view, 5, 8, feed.Removal("a"), stored("a", 8))
+    assert consumer.calls == ["put a"]
+    assert apply(view, 5, 9, feed.Removal("a"), stored("a", 8), stored("b", 9))
+    assert consumer.objects == {"a": 8, "b": 9}
+    assert "remove a" not in consumer.calls
+
+
+def test_changes_after_a_gap_are_not_applied() -> None:
+    """Guard against a removal that is missed for ever."""
+    view, consumer = make_view(5, "a")
+    assert not apply(view, 6, 9, stored("b", 9))
+    assert view.revision == 5
+    assert consumer.objects == {"a": 5}
+
+
+def test_older_list_changes_nothing() -> None:
+    """Guard against returning to a state that the store has left."""
+    view, consumer = make_view(5, "a")
+    apply(view, 5, 8, feed.Removal("a"))
+    assert not view.replace_all(
+        model.Listing(7, (stored("a", 5),)), grace_s=0.0
+    )
+    assert consumer.objects == {}
+
+
+def test_view_tells_what_changed_since_each_revision() -> None:
+    """Guard against followers that miss a change or get all objects."""
+    view, consumer = make_view(5, "a", "b")
+    apply(view, 5, 6, stored("c", 6))
+    apply(view, 6, 9, feed.Removal("a"), stored("c", 8))
+    apply(view, 9, 12)
+    for revision in (5, 6, 7, 9, 11):
+        follower = dict.fromkeys(("a", "b"), 5)
+        if revision >= 6:
+            follower["c"] = 6
+        if revision >= 9:
+            follower = {"b": 5, "c": 8}
+        delta = view.since(revision)
+        assert not delta.is_complete
+        assert (delta.after, delta.revision) == (revision, 12)
+        for event in delta.events:
+            if isinstance(event, feed.Removal):
+                follower.pop(event.name, None)
+            else:
+                follower[event.key] = event.revision
+        assert follower == consumer.objects
+    assert view.since(12).events == ()
+    assert view.since(4).is_complete
+    assert {
+        event.key
+        for event in view.since(0).events
+        if isinstance(event, model.StoredObject)
+    } == {"b", "c"}
+
+
+def test_known_changes_are_bounded() -> None:
+    """Guard against memory that grows with each change."""
+    view, _ = make_view(5)
+    for revision in range(6, 6 + 2 * store_view.MAX_DELTAS):
+        apply(view, revision - 1, revision, stored("a", revision))
+    assert len(view.deltas) == store_view.MAX_DELTAS
+    assert view.since(5).is_complete
--- a/tests/test_forwarding_host.py
+++ b/tests/test_forwarding_host.py
@@ -91,19 +91,24 @@
         raise AssertionError
 
     async def put(
-        self, kind: Kind, name: str, value: dict[str, object]
+        self,
+        kind: Kind,
+        name: str,
+        value: dict[str, object],
+        *,
+        probably_exists: bool = False,
     ) -> Result[int, result_codes.Refusal]:
         """Refuse the write."""
-        del kind, name, value
+        del kind, name, value, probably_exists
         return Failure(
             result_codes.Refusal(result_codes.ResultCode.STORE_UNAVAILABLE, "")
         )
 
     async def delete(
-        self, kind: Kind, name: str
+        self, kind: Kind, name: str, *, revision: int | None = None
     ) -> Result[None, result_codes.Refusal]:
         """Accept the removal."""
-        del kind, name
+        del kind, name, revision
         return Success(None)
 
 
@@ -137,15 +142,11 @@
 
     async def main() -> None:
         kinds: list[Kind] = []
-        for kind in (
-            Kind.CONFIGURATION,
-            Kind.BACKEND_SERVERS,
-            Kind.EVACUATIONS,
-        ):
+        for kind in Kind:
             kinds.append(kind)
             host = make_host(OpenFeed(*kinds))
             await follow(host, 0.1)
-            assert host.ready is (kind is Kind.EVACUATIONS)
+            assert host.ready is (len(kinds) == len(Kind))
             named = host.addresses_for(region="a", zone="a1")
             assert bool(named) is host.ready
 
