Merge a valid version that is older than a rejected one

Cause: CatalogueState passed over every stored version that was not newer than the entry's latest one, valid or not. After a later version was rejected, the last valid one was skipped while the position moved past it.

Change: only versions that are not newer than the known valid one, or that are the rejected one itself, are passed over.

--- a/src/samphirelug/components/catalogue/state.py
+++ b/src/samphirelug/components/catalogue/state.py
@@ -122,13 +122,19 @@
             if not stored.key.startswith(codec.PREFIX):
                 continue
             key = stored.key.removeprefix(codec.PREFIX)
-            # Unchanged entries of a full listing are not validated again.
-            if stored.revision <= self._latest_revision(key):
+            # Unchanged entries of a full listing are not validated again. One
+            # that is older than a rejected version may still be the latest
+            # valid one.
+            known = self.objects.get(key)
+            rejected_revision = self._rejected_revisions.get(key, 0)
+            if stored.revision == rejected_revision or (
+                known is not None and stored.revision <= known.revision
+            ):
                 continue
             decoded = codec.decode_object(stored)
             if isinstance(decoded, Success):
                 valid.append(decoded.unwrap())
-            else:
+            elif stored.revision > rejected_revision:
                 rejected = True
                 self._record_rejection(
                     key, stored.revision, str(decoded.failure())
--- a/tests/components/catalogue/test_state.py
+++ b/tests/components/catalogue/test_state.py
@@ -1,5 +1,6 @@
 """Test that the catalogue in force never reverts to older versions."""
 
+from hypothesis import example
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies
@@ -53,6 +54,21 @@
             assert state.objects[key].revision >= newest.revision
 
 
+_WRITE = ("write", 0, 0, False, False)
+_WRITE_VALID = ("write", 0, 0, True, False)
+_WATCH_BEYOND = ("watch", 0, 1, False, False)
+_STALE_LIST = ("list", 0, 2, False, False)
+
+
+# A valid version older than one that was rejected.
+@example(
+    [_WRITE] * 7 + [_WRITE_VALID, _WRITE, _WRITE, _WATCH_BEYOND, _STALE_LIST]
+)
+@example(
+    [_WRITE] * 5
+    + [_WRITE_VALID, ("list", 0, 0, False, False)]
+    + [_WRITE_VALID, _WRITE, _WRITE, _WATCH_BEYOND, _STALE_LIST]
+)
 @settings(max_examples=400)
 @given(
     strategies.lists(
