Watch the host list of an empty store

Cause: HostList took revision 0 of the first list for "not read yet".

Change: "not read yet" is None.

--- a/src/samphirelug/components/peers/hosts.py
+++ b/src/samphirelug/components/peers/hosts.py
@@ -155,8 +155,9 @@
         self.on_entry_hosts = on_entry_hosts
         self.on_servers = on_servers
         self.state = HostListState()
-        # Store revision from which to watch; 0 before all zones were read.
-        self.watched_revision = 0
+        # Store revision from which to watch; None before all zones were read.
+        # An empty store has revision 0.
+        self.watched_revision: int | None = None
 
     async def run(self) -> None:
         """Follow the list until cancelled."""
@@ -165,10 +166,10 @@
 
     async def step(self) -> float:
         """Read or watch once; return the delay before the next call in s."""
-        if not self.watched_revision:
+        if self.watched_revision is None:
             return await self._list()
         if self.is_watcher():
-            return await self._watch()
+            return await self._watch(self.watched_revision)
         if self._fits_full_mesh():
             return await self._list()
         # Reading one zone does not advance watched_revision: a later watch has
@@ -191,26 +192,24 @@
             case Success(store_model.Listing() as listing):
                 self._apply(listing.objects)
                 self.watched_revision = max(
-                    self.watched_revision, listing.revision
+                    self.watched_revision or 0, listing.revision
                 )
-                if self.is_watcher() and self.watched_revision:
+                if self.is_watcher():
                     return 0.0
                 return self._poll_delay_s()
             case Failure(result_codes.Refusal() as refusal):
                 return self._retry_delay_s(refusal)
         return const.HOST_LIST_RETRY_S
 
-    async def _watch(self) -> float:
+    async def _watch(self, after: int) -> float:
         match await self.store.watch(
             _HOSTS_PREFIX,
-            after=self.watched_revision,
+            after=after,
             timeout_s=const.HOST_LIST_WATCH_S,
         ):
             case Success(store_model.Listing() as listing):
                 self._apply(listing.objects)
-                self.watched_revision = max(
-                    self.watched_revision, listing.revision
-                )
+                self.watched_revision = max(after, listing.revision)
                 return 0.0
             case Failure(result_codes.Refusal() as refusal):
                 return self._retry_delay_s(refusal)
--- a/tests/components/peers/test_hosts.py
+++ b/tests/components/peers/test_hosts.py
@@ -188,3 +188,16 @@
     assert state.servers["s1"] == hosts.ListedServer("s1", True, 6, 5)
     assert apply_state("s1", 7, "live")
     assert state.servers["s1"] == hosts.ListedServer("s1", False, 7, 7)
+
+
+def test_a_watcher_of_an_empty_store_watches() -> None:
+    """Guard against a watcher that polls because its first list is empty.
+
+    It learned up to 90 s late of the first hosts and of leaving servers.
+    """
+    follower = Follower(watcher=True)
+    assert follower.step() == 0.0
+    follower.store.write("tartu-a", ("s1", "backend-server", "leaving"))
+    assert follower.step() == 0.0
+    assert follower.store.calls == ["list hosts/", "watch hosts/ 0"]
+    assert follower.servers["s1"].leaving
