Leave the shell's notices about jobs out of a walk-through's output

Cause: bash writes "line N: PID Killed" when it reaps a background job, also before the end marker of a later command.

Change: such lines are skipped.

--- a/standins/walkthrough.py
+++ b/standins/walkthrough.py
@@ -33,6 +33,9 @@
 COMMAND_TIMEOUT_S = 90.0
 LOOKUP_KEEP_S = 2
 OUTPUT_FLAGS = doctest.ELLIPSIS | doctest.NORMALIZE_WHITESPACE
+# Notice of bash about the end of a job that an earlier command started. It is
+# written at any time, also as part of a later command's output.
+JOB_NOTICE = re.compile(r"^\S*bash: line \d+: +\d+ (Killed|Terminated)\b")
 # Written after each command, to find the end of its output.
 END_MARKER = "end-of-command"
 
@@ -126,7 +129,9 @@
             read = await self.process.stdout.readline()
             if not read or read.decode().rstrip("\n") == END_MARKER:
                 return "".join(output).removesuffix("\n")
-            output.append(read.decode(errors="replace"))
+            text = read.decode(errors="replace")
+            if not JOB_NOTICE.match(text):
+                output.append(text)
 
     async def stop(self) -> None:
         """Kill the shell; processes that it started continue."""
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -54,3 +54,23 @@
     # Sections 1 to 5: start, change and roll-back of the catalogue, drain of a
     # backend server and replacement of an entry host.
     assert asyncio.run(walkthrough.run_walkthroughs(last=5)) == 5
+
+
+def test_notices_about_background_jobs_are_not_output() -> None:
+    """Guard against a walk-through that fails when a job is reaped early."""
+
+    async def main() -> list[str]:
+        shell = walkthrough.Shell(directory="/", environment={})
+        await shell.start()
+        outputs = [
+            await shell.run(command)
+            for command in (
+                "sleep 100 & echo started",
+                "kill -KILL $!; sleep 0.2; echo killed",
+                "echo next",
+            )
+        ]
+        await shell.stop()
+        return outputs
+
+    assert asyncio.run(main()) == ["started\n", "killed\n", "next\n"]
