--- a/src/samphirelug/components/commands/explain.py
+++ b/src/samphirelug/components/commands/explain.py
@@ -32,9 +32,13 @@
         "entry host started",
         "entry host stops",
         "evacuated zones changed",
+        "no longer follows an entry host",
+        "reads the store",
         "settings reloaded",
+        "stops reading the store",
         "store lost",
         "store regained",
+        "task failed",
     )
 )
 # Fields of every log line, which the report omits or shows separately.
@@ -98,7 +102,12 @@
         f" {fields.get('status', 'no answer')} {fields.get('code', '')}"
     ]
     code = str(fields.get("code"))
-    if code in result_codes.ResultCode.__members__:
+    status = fields.get("status")
+    if isinstance(status, int) and status >= 500 and code == "OK":
+        report.append(
+            "  the server ran the request and answered with this error"
+        )
+    elif code in result_codes.ResultCode.__members__:
         effect = result_codes.ResultCode[code].effect.value
         report.append(f"  code {code} means: {effect}")
     if fields.get("detail"):
@@ -203,6 +212,8 @@
     for path in log_file:
         with path.open(encoding="utf-8", errors="replace") as lines:
             log.extend(parse(lines))
+    # Files may be given in any order, and hosts log at the same time.
+    log.sort(key=lambda line: line.logged_at)
     report = describe_request(log, request_id, window_s=window_s)
     if not report:
         typer.echo(
--- a/src/samphirelug/components/forwarding/forwarder.py
+++ b/src/samphirelug/components/forwarding/forwarder.py
@@ -1,5 +1,6 @@
 """Send a request to a server and decide on further attempts."""
 
+import asyncio
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -88,9 +89,12 @@
         )
         try:
             result = await self._forward(request, trace)
-        except BaseException:
+        except asyncio.CancelledError:
             self.log.write_cancelled(trace, now=self.timer.monotonic())
             raise
+        except Exception:
+            self.log.write_error(trace, now=self.timer.monotonic())
+            raise
         self.log.write(trace, result, now=self.timer.monotonic())
         return result
 
--- a/src/samphirelug/components/forwarding/request_log.py
+++ b/src/samphirelug/components/forwarding/request_log.py
@@ -132,22 +132,41 @@
         if detail:
             extra["detail"] = detail
         if retry_after_s:
-            extra["retry_after_s"] = retry_after_s
+            extra["retry_after_s"] = round(retry_after_s, 3)
         level = logging.INFO if succeeded else logging.WARNING
         _LOGGER.log(level, "request ended", extra=extra)
 
     def write_cancelled(self, trace: RequestTrace, *, now: float) -> None:
-        """Log a request that the caller cancelled or an exception ended."""
+        """Log a request whose caller has left."""
         code = result_codes.ResultCode.CALLER_GONE
         if trace.attempts:
             code = result_codes.ResultCode.CALLER_GONE_RUNNING
+        self._write_end(trace, code, "request cancelled", now=now)
+
+    def write_error(self, trace: RequestTrace, *, now: float) -> None:
+        """Log a request that an unexpected error in this process ended."""
+        self._write_end(
+            trace,
+            result_codes.ResultCode.INTERNAL_ERROR,
+            "request failed in this process",
+            now=now,
+        )
+
+    def _write_end(
+        self,
+        trace: RequestTrace,
+        code: result_codes.ResultCode,
+        message: str,
+        *,
+        now: float,
+    ) -> None:
         self._observe(trace, code.name.lower(), now)
         left_out = self.failed_limiter.try_acquire(now)
         if left_out is None:
             return
         extra = trace.fields(now)
         extra.update(code=code.name, left_out=left_out)
-        _LOGGER.info("request cancelled", extra=extra)
+        _LOGGER.info(message, extra=extra)
 
     def _observe(self, trace: RequestTrace, code: str, now: float) -> None:
         route = trace.route.name if trace.route else ""
--- a/src/samphirelug/components/metrics/forwarding.py
+++ b/src/samphirelug/components/metrics/forwarding.py
@@ -70,6 +70,10 @@
         """Count a call to the store."""
         self.store_calls.inc({"kind": kind, "outcome": outcome})
 
+    def set_lost_lines(self, count: int) -> None:
+        """Set the number of log lines that were dropped."""
+        self.lost_lines.set({}, count)
+
     def set_belief(self, name: str, value: float) -> None:
         """Set the value of samphirelug_belief that has this name."""
         self.beliefs.set({"name": name}, value)
--- a/src/samphirelug/helpers/log_output.py
+++ b/src/samphirelug/helpers/log_output.py
@@ -22,6 +22,8 @@
     def emit(self, record: logging.LogRecord) -> None:
         """Write a record, or buffer it until a later one can be written."""
         line = self.format(record).encode() + b"\n"
+        # The reader may read again.
+        self.flush()
         if len(self.buffered_lines) >= MAX_BUFFERED_LINES:
             self.lost_lines += 1
             return
--- a/tests/components/commands/test_explain.py
+++ b/tests/components/commands/test_explain.py
@@ -129,3 +129,24 @@
         __main__.app, ["explain", "r9", "--log", str(path)]
     )
     assert unknown.exit_code == 1
+
+
+def test_error_of_a_server_is_not_called_done() -> None:
+    """Guard against a report that calls a failed request a success."""
+    line = log_line(1, "request ended", request_id="r1", status=500, code="OK")
+    log = list(explain.parse([line]))
+    report = "\n".join(explain.describe_request(log, "r1", window_s=10.0))
+    assert "done" not in report
+    assert "answered with this error" in report
+
+
+def test_logs_may_be_given_in_any_order(tmp_path: pathlib.Path) -> None:
+    """Guard against events that are missing since their file came later."""
+    paths = [tmp_path / "late.log", tmp_path / "early.log"]
+    paths[0].write_text("\n".join(LINES[4:]))
+    paths[1].write_text("\n".join(LINES[:4]))
+    result = testing.CliRunner().invoke(
+        __main__.app,
+        ["explain", "r1", *(f"--log={path}" for path in paths)],
+    )
+    assert "4.000 s before: store lost" in result.output
--- a/tests/components/forwarding/test_forwarder.py
+++ b/tests/components/forwarding/test_forwarder.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import pytest
 from returns.result import Failure
 from returns.result import Success
 
@@ -259,3 +260,17 @@
     harness.timer.advance(2.0)
     assert refusal_code(harness.run(STATUS)) is Code.DEADLINE_EXPIRED
     assert not harness.sender.attempts
+
+
+def test_unexpected_error_is_not_logged_as_a_caller_that_left(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guard against a fault of this process that looks like a caller's."""
+    harness = ForwarderHarness()
+    with caplog.at_level("INFO"), pytest.raises(IndexError):
+        harness.run(STATUS)
+    (record,) = (
+        record for record in caplog.records if "request" in record.message
+    )
+    assert record.message == "request failed in this process"
+    assert record.__dict__["code"] == "INTERNAL_ERROR"
