Pass a new list on as its difference

Cause: a view dropped its history when the store's history had ended and the watcher listed again, since then each host sent all objects to its followers, who did the same. Watches of kinds without changes ran for 25 s, longer than the 20 s for which the store keeps its history, so that this happened every 25 s.

Change: a list is compared with the known objects and recorded as a change; a watch without changes moves the view's revision only; watches end after 15 s; a starting host asks its second source only when the first has sent everything, or after 0.6 s.

--- a/src/samphirelug/components/following/const.py
+++ b/src/samphirelug/components/following/const.py
@@ -27,6 +27,9 @@
 # Time that a starting host waits for its first view from its sources, while
 # it has any.
 START_PATIENCE_S = 2.0
+# Time for which a starting host waits for its first source before it dials
+# another one, as each sends it all objects.
+FIRST_SOURCE_PATIENCE_S = 0.6
 # Spread of the first reads of hosts whose sources have lost the store.
 STALE_SPREAD_S = 1.0
 # A host that reads the store since its sources failed goes on at least for
--- a/src/samphirelug/components/following/coordinator.py
+++ b/src/samphirelug/components/following/coordinator.py
@@ -176,7 +176,12 @@
             for host in self.plan.candidates
             if self.failed_until_s.get(host.name, 0.0) <= now
         ]
-        wanted = {host.name: host for host in available[: const.SOURCES]}
+        count = const.SOURCES
+        if not self.is_complete and (
+            now - (self.started_at_s or now) < const.FIRST_SOURCE_PATIENCE_S
+        ):
+            count = 1
+        wanted = {host.name: host for host in available[:count]}
         # An alive source that is too old is replaced, if there are others.
         for session in list(self.sources.values()):
             if (
--- a/src/samphirelug/components/store/follower.py
+++ b/src/samphirelug/components/store/follower.py
@@ -15,7 +15,9 @@
 from samphirelug import result_codes
 
 _LOGGER = logging.getLogger(__name__)
-WATCH_TIMEOUT_S = 25.0
+# Shorter than the time for which the store keeps its history, so that the next
+# watch can continue without a list.
+WATCH_TIMEOUT_S = 15.0
 # Timeout of the watches that check whether the store is available again.
 PROBE_WATCH_TIMEOUT_S = 0.05
 # Delays between calls while the store does not answer. They are short, since
--- a/src/samphirelug/components/store/view.py
+++ b/src/samphirelug/components/store/view.py
@@ -69,9 +69,9 @@
         # Revision of the store that the view shows; 0 if it shows nothing.
         self.revision = 0
         self.objects: dict[str, model.StoredObject] = {}
-        self.deltas: collections.deque[Delta] = collections.deque(
-            maxlen=MAX_DELTAS
-        )
+        # The changes after known_since, oldest first.
+        self.deltas: collections.deque[Delta] = collections.deque()
+        self.known_since = 0
         # Called after each new revision.
         self.on_changed: list[Callable[[], None]] = []
 
@@ -79,9 +79,25 @@
         """Apply all objects; return False if they are older than the view."""
         if listing.revision < self.revision:
             return False
+        objects = {stored.key: stored for stored in listing.objects}
+        if self.revision:
+            # Followers get the difference: all objects would take most of
+            # the bytes between hosts.
+            changed: list[Event] = [
+                stored
+                for stored in listing.objects
+                if self.objects.get(stored.key) != stored
+            ]
+            changed += [
+                feed.Removal(name) for name in self.objects.keys() - objects
+            ]
+            self._record(
+                Delta(self.revision, listing.revision, tuple(changed))
+            )
+        else:
+            self.known_since = listing.revision
         self.revision = listing.revision
-        self.objects = {stored.key: stored for stored in listing.objects}
-        self.deltas.clear()
+        self.objects = objects
         self.consumer.replace_all(listing.objects, grace_s=grace_s)
         self._notify()
         return True
@@ -112,11 +128,7 @@
             else:
                 self.objects[event.key] = event
                 self.consumer.upsert(event)
-        if delta.events or not self.deltas:
-            self.deltas.append(delta)
-        else:
-            # Nothing changed: extends the last set of changes.
-            self.deltas[-1] = self.deltas[-1]._replace(revision=revision)
+        self._record(delta)
         self._notify()
         return True
 
@@ -124,7 +136,7 @@
         """Return what changed after a revision, or all objects."""
         if revision >= self.revision:
             return Delta(self.revision, self.revision, ())
-        if not self.deltas or revision < self.deltas[0].after:
+        if revision < self.known_since:
             return Delta(0, self.revision, tuple(self.objects.values()), True)
         return Delta(
             revision,
@@ -137,6 +149,13 @@
             ),
         )
 
+    def _record(self, delta: Delta) -> None:
+        if not delta.events:
+            return
+        self.deltas.append(delta)
+        if len(self.deltas) > MAX_DELTAS:
+            self.known_since = self.deltas.popleft().revision
+
     def _notify(self) -> None:
         for listener in self.on_changed:
             listener()
--- a/tests/components/following/test_coordinator.py
+++ b/tests/components/following/test_coordinator.py
@@ -6,6 +6,7 @@
 from samphirelug.components.following import const
 from samphirelug.components.following import plan
 from samphirelug.components.store import feed
+from samphirelug.components.store import model
 from samphirelug import core
 from standins.simulation import following
 
@@ -259,3 +260,33 @@
     world = following.World(zones={"a1": "a"}, hosts_per_zone=1)
     world.run(1.0)
     assert world.behind() == []
+
+
+def test_steady_fleet_sends_only_beats() -> None:
+    """Guard against views that are sent again and again."""
+    world = make_world(20)
+    for number in range(300):
+        world.change(Kind.BACKEND_SERVERS, f"s{number}")
+    world.run(1.0)
+    for host in world.hosts.values():
+        for view in host.views.values():
+            view.replace_all(
+                model.Listing(world.revision, tuple(view.objects.values())),
+                grace_s=0.0,
+            )
+    world.run(1.0)
+    sent_bytes = world.sent_bytes
+    for round_number in range(4):
+        name = watchers(world)[round_number]
+        world.revision += 1
+        for kind, view in world.hosts[name].views.items():
+            view.replace_all(
+                model.Listing(
+                    world.revision, tuple(world.objects[kind].values())
+                ),
+                grace_s=0.0,
+            )
+        world.run(5.0)
+    per_host_s = (world.sent_bytes - sent_bytes) / 20.0 / len(world.hosts)
+    # Two links with two beats a second, of 5 bytes each, and the revisions.
+    assert per_host_s < 100
--- a/tests/components/store/test_view.py
+++ b/tests/components/store/test_view.py
@@ -142,3 +142,28 @@
         apply(view, revision - 1, revision, stored("a", revision))
     assert len(view.deltas) == store_view.MAX_DELTAS
     assert view.since(5).is_complete
+
+
+def test_new_list_is_passed_on_as_its_difference() -> None:
+    """Guard against all objects sent to all hosts after each list.
+
+    On the large site, lists after the end of the store's history took 1.6
+    times as many bytes between zones as all requests.
+    """
+    view, _ = make_view(5, "a", "b", "c")
+    assert view.replace_all(
+        model.Listing(9, (stored("a", 5), stored("b", 8), stored("d", 7))),
+        grace_s=0.0,
+    )
+    delta = view.since(5)
+    assert not delta.is_complete
+    assert delta.events == (
+        stored("b", 8),
+        stored("d", 7),
+        feed.Removal("c"),
+    )
+    assert view.replace_all(
+        model.Listing(12, tuple(view.objects.values())), grace_s=0.0
+    )
+    assert view.since(9).events == ()
+    assert view.since(5).events == delta.events
