Apply and log the first list of backend servers at once

Cause: each server of a list rebuilt the usable servers of all services and wrote a line, so that a host's first list of n servers cost n squared steps and n lines, at the moment when a whole fleet starts.

Result: test_first_list_is_applied_and_logged_at_once (500 lines and rebuilds before, 1 now).

--- a/src/samphirelug/components/fleet/registry.py
+++ b/src/samphirelug/components/fleet/registry.py
@@ -36,6 +36,9 @@
         # Incremented whenever the usable servers may have changed.
         self.generation = 0
         self.usable_by_service: dict[str, list[model.ServerInstance]] = {}
+        # Whether a list is being applied, after which the usable servers are
+        # determined once.
+        self.applying_list = False
         # Called with each removed server and each superseded incarnation.
         self.on_removed: list[Callable[[model.ServerInstance], None]] = []
         # Called with each incarnation that is newly known to leave.
@@ -96,6 +99,8 @@
         if previous is not None and previous.incarnation != server.incarnation:
             self._notify_removed(previous)
         self._rebuild_usable()
+        if self.applying_list and previous is None:
+            return
         _LOGGER.info(
             "backend server changed",
             extra={
@@ -134,16 +139,28 @@
     ) -> None:
         """Apply a complete list; servers missing from it are removed."""
         listed = {server.instance_id: server for server in servers}
-        for server in listed.values():
-            self.put(server, source=source)
-        for instance_id in list(self.servers):
-            if instance_id not in listed:
-                self.remove(
-                    instance_id,
-                    now=now,
-                    grace_s=grace_s,
-                    source=source,
-                )
+        added = len(listed.keys() - self.servers.keys())
+        self.applying_list = True
+        try:
+            for server in listed.values():
+                self.put(server, source=source)
+            for instance_id in list(self.servers):
+                if instance_id not in listed:
+                    self.remove(
+                        instance_id,
+                        now=now,
+                        grace_s=grace_s,
+                        source=source,
+                    )
+        finally:
+            self.applying_list = False
+            self._rebuild_usable()
+        # One line for the servers that are new, since a starting host learns
+        # of all of them at once.
+        _LOGGER.info(
+            "backend servers listed",
+            extra={"servers": len(listed), "added": added, "source": source},
+        )
 
     def expire_missing(self, *, now: float) -> None:
         """Remove missing servers whose grace period has passed."""
@@ -200,6 +217,8 @@
         )
 
     def _rebuild_usable(self) -> None:
+        if self.applying_list:
+            return
         self.generation += 1
         usable: dict[str, list[model.ServerInstance]] = {}
         for server in self.servers.values():
--- a/tests/components/fleet/test_registry.py
+++ b/tests/components/fleet/test_registry.py
@@ -1,5 +1,7 @@
 """Test which backend servers may get new requests."""
 
+import pytest
+
 from samphirelug.components.fleet import model as fleet_model
 from samphirelug.components.fleet import registry as fleet_registry
 from standins import forwarding as build
@@ -130,3 +132,18 @@
     registry.mark_leaving(build.server("s1").incarnation, source="answer")
     assert len(registry.leaving) == fleet_registry.MAX_LEAVING
     assert usable_ids(registry) == set()
+
+
+def test_first_list_is_applied_and_logged_at_once(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guard against starts that take seconds in a fleet of many servers."""
+    registry = fleet_registry.ServerRegistry()
+    servers = [build.server(f"s{number}") for number in range(500)]
+    with caplog.at_level("INFO"):
+        registry.replace_all(servers, now=0.0, grace_s=0.0, source="test")
+    assert len(usable_ids(registry)) == 500
+    assert len(caplog.records) == 1
+    assert registry.generation == 1
+    registry.replace_all(servers[:-1], now=0.0, grace_s=0.0, source="test")
+    assert len(usable_ids(registry)) == 499
