--- a/src/samphirelug/components/following/coordinator.py
+++ b/src/samphirelug/components/following/coordinator.py
@@ -55,9 +55,7 @@
         self.dialer = dialer
         self.timer = timer
         self.rng = rng
-        self.stale_after_s = min(
-            const.MAX_STALE_S, const.STALE_RATIO * drain_s
-        )
+        self.set_drain_time(drain_s)
         # Starts or ends reading the store.
         self.set_direct = set_direct
         self.direct = False
@@ -110,6 +108,12 @@
             default=sessions.NEVER,
         )
 
+    def set_drain_time(self, drain_s: float) -> None:
+        """Set the time within which a draining server must be out of use."""
+        self.stale_after_s = min(
+            const.MAX_STALE_S, const.STALE_RATIO * drain_s
+        )
+
     def tick(self) -> None:
         """Check sources and followers, and send what is due."""
         now = self.timer.monotonic()
--- a/src/samphirelug/components/forwarding/retry_window.py
+++ b/src/samphirelug/components/forwarding/retry_window.py
@@ -9,13 +9,19 @@
     """Allow retries up to a ratio of first attempts and a share of slack."""
 
     def __init__(self, *, ratio: float, slack: float, window_s: float) -> None:
+        self.set_limits(ratio=ratio, slack=slack, window_s=window_s)
+        # Times of attempts within the window, by service.
+        self.first_attempts: dict[str, collections.deque[float]] = {}
+        self.retries: dict[str, collections.deque[float]] = {}
+
+    def set_limits(
+        self, *, ratio: float, slack: float, window_s: float
+    ) -> None:
+        """Set the limits; retries already counted stay counted."""
         self.ratio = ratio
         # Retries in the window beyond the ratio, shared equally by all hosts.
         self.slack = slack
         self.window_s = window_s
-        # Times of attempts within the window, by service.
-        self.first_attempts: dict[str, collections.deque[float]] = {}
-        self.retries: dict[str, collections.deque[float]] = {}
 
     def record_first_attempt(self, service: str, *, now: float) -> None:
         """Count a request for a service."""
--- a/src/samphirelug/forwarding_host.py
+++ b/src/samphirelug/forwarding_host.py
@@ -153,6 +153,11 @@
             first_start=settings.first_start,
         )
         self.registry.on_removed.append(self.sender.close_idle)
+        self.retries = retry_window.RetryWindow(
+            ratio=settings.retries.ratio,
+            slack=settings.retries.slack,
+            window_s=settings.retries.window_s,
+        )
         self.listener = io_pipeline.CallerListener(
             handler=handler.ForwardingHandler(
                 forwarder=forwarder.Forwarder(
@@ -160,11 +165,7 @@
                     configuration=self.configuration,
                     placer=self.placer,
                     sender=self.sender,
-                    retries=retry_window.RetryWindow(
-                        ratio=settings.retries.ratio,
-                        slack=settings.retries.slack,
-                        window_s=settings.retries.window_s,
-                    ),
+                    retries=self.retries,
                     log=request_log.RequestLog(metrics=metrics),
                     host_count=lambda: self.roster.count,
                 ),
@@ -196,6 +197,29 @@
             and not self.stopping.is_set()
         )
 
+    def apply_settings(
+        self, settings: forwarding_settings.ForwardingSettings
+    ) -> tuple[list[str], list[str]]:
+        """Apply changed settings; return the applied and the other ones."""
+        changed = [
+            name
+            for name, value in settings._asdict().items()
+            if getattr(self.settings, name) != value
+        ]
+        applied = [
+            name for name in changed if name in forwarding_settings.RELOADABLE
+        ]
+        self.settings = self.settings._replace(
+            **{name: getattr(settings, name) for name in applied}
+        )
+        self.retries.set_limits(
+            ratio=settings.retries.ratio,
+            slack=settings.retries.slack,
+            window_s=settings.retries.window_s,
+        )
+        self.coordinator.set_drain_time(settings.drain_s)
+        return applied, [name for name in changed if name not in applied]
+
     def addresses_for(self, *, region: str, zone: str) -> list[str]:
         """Return the caller addresses to list in a look-up answer."""
         hosts = self.roster.serving()
--- a/src/samphirelug/forwarding_settings.py
+++ b/src/samphirelug/forwarding_settings.py
@@ -36,6 +36,11 @@
     link_mbps: float
 
 
+# Settings that take effect while the host runs; the others do so at its next
+# start.
+RELOADABLE = frozenset(("retries", "stop_grace_s", "lookup_keep_s", "drain_s"))
+
+
 class ForwardingSettings(NamedTuple):
     """Represent the settings of a forwarding entry host."""
 
--- a/tests/test_forwarding_host.py
+++ b/tests/test_forwarding_host.py
@@ -179,3 +179,32 @@
         assert not host.sender.may_be_sent(server)
 
     asyncio.run(main())
+
+
+def test_changed_settings_take_effect_or_are_named() -> None:
+    """Guard against an operator who believes that a change is in force."""
+
+    async def main() -> None:
+        host = make_host(OpenFeed(*Kind))
+        changed = SETTINGS._replace(
+            retries=forwarding_settings.RetryLimits(0.5, 9, 4.0),
+            lookup_keep_s=1.0,
+            stop_grace_s=3.0,
+            drain_s=1.0,
+            store_url="http://127.0.0.1:7",
+            zones={},
+        )
+        applied, needs_restart = host.apply_settings(changed)
+        assert set(applied) == forwarding_settings.RELOADABLE
+        assert set(needs_restart) == {"store_url", "zones"}
+        assert host.settings == SETTINGS._replace(
+            retries=changed.retries,
+            lookup_keep_s=1.0,
+            stop_grace_s=3.0,
+            drain_s=1.0,
+        )
+        assert (host.retries.ratio, host.retries.window_s) == (0.5, 4.0)
+        assert host.coordinator.stale_after_s < 1.0
+        assert host.apply_settings(host.settings) == ([], [])
+
+    asyncio.run(main())
