--- a/src/samphirelug/components/http/io_pipeline.py
+++ b/src/samphirelug/components/http/io_pipeline.py
@@ -114,14 +114,12 @@
                 self.parser.feed(data)
             except request_parser.RequestError as error:
                 self.error_status = error.status
-            if self.parser.expects_continue and not self.pending:
-                self.parser.expects_continue = False
-                self.stream.write(b"HTTP/1.1 100 Continue\r\n\r\n")
             if not self.parser.completed:
                 await self._let_others_run()
             for message, keep_alive in self.parser.completed:
                 self._enqueue(message, keep_alive)
             self.parser.completed.clear()
+            self._send_continue()
             if self.error_status is not None:
                 self.writer_wakeup.set()
                 # Discard further data; raises when the caller disconnects.
@@ -135,6 +133,12 @@
         )
         return data
 
+    def _send_continue(self) -> None:
+        """Let the caller send a body, once earlier responses are written."""
+        if self.parser.expects_continue and not self.pending:
+            self.parser.expects_continue = False
+            self.stream.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
     async def _let_others_run(self) -> None:
         """Return to the event loop between two reads.
 
@@ -184,6 +188,7 @@
     async def _write_in_order(self) -> None:
         while True:
             while not self.pending:
+                self._send_continue()
                 if self.error_status is not None:
                     self.closing = True
                     await self._write(
@@ -210,15 +215,22 @@
                 # caller sends them again on another connection.
                 self.closing = True
                 self._discard_pending()
-            await self._write(response, close=close)
+            await self._write(
+                response, close=close, is_head=first.message.method == "HEAD"
+            )
             if close:
                 self._linger()
                 return
 
-    async def _write(self, response: model.Response, *, close: bool) -> None:
+    async def _write(
+        self, response: model.Response, *, close: bool, is_head: bool = False
+    ) -> None:
         lines = [f"HTTP/1.1 {response.status} {response.reason}"]
         lines += [f"{name}: {value}" for name, value in response.headers]
-        lines.append(f"Content-Length: {len(response.body)}")
+        # The length in a response without a body by its kind would be that of
+        # a body that is not known here.
+        if response.body or not (is_head or response.status in (204, 304)):
+            lines.append(f"Content-Length: {len(response.body)}")
         if close:
             lines.append("Connection: close")
         head = "\r\n".join(lines) + "\r\n\r\n"
--- a/src/samphirelug/components/http/io_pool.py
+++ b/src/samphirelug/components/http/io_pool.py
@@ -179,7 +179,13 @@
         # no await between this check and the write.
         remaining_s = attempt.deadline_at_s - self.timer.monotonic()
         if remaining_s <= 0:
-            self._release(connection, attempt)
+            # It goes on being idle since its last request.
+            if connection.request_count:
+                self._release(
+                    connection, attempt, idle_since_s=connection.idle_since_s
+                )
+            else:
+                connection.close()
             return _failure(
                 backend_model.FailureKind.NOT_SENT,
                 "the deadline passed before sending",
@@ -383,12 +389,16 @@
         self,
         connection: io_connection.ServerConnection,
         attempt: model.Attempt,
+        *,
+        idle_since_s: float | None = None,
     ) -> None:
         idle = self.idle_connections.setdefault(attempt.server.incarnation, [])
         if len(idle) >= const.MAX_IDLE_CONNECTIONS:
             connection.close()
             return
-        connection.idle_since_s = self.timer.monotonic()
+        connection.idle_since_s = (
+            self.timer.monotonic() if idle_since_s is None else idle_since_s
+        )
         idle.append(connection)
 
     def _close_expired(self) -> None:
--- a/src/samphirelug/components/http/request_parser.py
+++ b/src/samphirelug/components/http/request_parser.py
@@ -72,9 +72,13 @@
     def _parse(self, data: bytes) -> None:
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # The request is complete, and is served without the upgrade.
-            return
+        except httptools.HttpParserUpgrade as error:
+            # The request is complete, and is served without the upgrade. The
+            # bytes behind it are the next request.
+            self.parser = httptools.HttpRequestParser(self)
+            offset: int = error.args[0]
+            if offset < len(data):
+                self._parse(data[offset:])
         except httptools.HttpParserCallbackError as error:
             if isinstance(error.__context__, RequestError):
                 raise error.__context__ from None
--- a/tests/components/http/test_io_pipeline.py
+++ b/tests/components/http/test_io_pipeline.py
@@ -419,3 +419,86 @@
         assert await reader.read() == b""
 
     run(script)
+
+
+def test_request_behind_an_upgrade_is_served() -> None:
+    """Guard against a request that is lost in the same read."""
+
+    async def script(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        listener: io_pipeline.CallerListener,
+        handler: DelayHandler,
+    ) -> None:
+        del listener, handler
+        writer.write(
+            b"GET /a/0 HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\n"
+            b"Upgrade: other\r\n\r\n"
+            b"GET /b/0 HTTP/1.1\r\nHost: x\r\n\r\n"
+        )
+        assert await read_body(reader) == b"/a/0"
+        assert await read_body(reader) == b"/b/0"
+
+    run(script)
+
+
+class EmptyHandler(DelayHandler):
+    """Answer with the status in the last segment and no body."""
+
+    async def handle(
+        self, message: request_parser.CallerMessage
+    ) -> model.Response:
+        """Answer at once."""
+        status = int(message.target.rpartition("/")[2])
+        return model.Response(status, "", (("X-Kept", "1"),), b"")
+
+
+def test_responses_without_a_body_state_no_length() -> None:
+    """Guard against a length of 0 for a body that a caller may have."""
+
+    async def script(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        listener: io_pipeline.CallerListener,
+        handler: DelayHandler,
+    ) -> None:
+        del listener, handler
+        for method, status, has_length in (
+            (b"HEAD", b"200", False),
+            (b"GET", b"204", False),
+            (b"GET", b"304", False),
+            (b"GET", b"200", True),
+        ):
+            writer.write(
+                method + b" /" + status + b" HTTP/1.1\r\nHost: x\r\n\r\n"
+            )
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert b"X-Kept" in head
+            assert (b"Content-Length" in head) is has_length
+
+    run(script, EmptyHandler())
+
+
+def test_body_may_be_sent_after_an_earlier_response() -> None:
+    """Guard against a caller that waits for ever for "100 Continue"."""
+
+    async def script(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        listener: io_pipeline.CallerListener,
+        handler: DelayHandler,
+    ) -> None:
+        del listener
+        writer.write(
+            b"GET /0.1 HTTP/1.1\r\nHost: x\r\n\r\n"
+            b"POST /0 HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n"
+            b"Expect: 100-continue\r\n\r\n"
+        )
+        assert await read_body(reader) == b"/0.1"
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 100")
+        writer.write(b"ok")
+        assert await read_body(reader) == b"/0"
+        assert handler.bodies[-1] == b"ok"
+
+    run(script)
--- a/tests/components/http/test_io_pool.py
+++ b/tests/components/http/test_io_pool.py
@@ -372,3 +372,24 @@
         assert closes == ["reset", "reset"]
 
     run(serve, scenario)
+
+
+def test_unused_connection_stays_idle_since_its_last_request() -> None:
+    """Guard against a connection that is used after the server closed it."""
+
+    async def scenario(
+        sender: io_pool.PooledSender,
+        attempt: Callable[..., model.Attempt],
+        server: ScriptedServer,
+    ) -> None:
+        await sender.send(attempt("r1"))
+        ((connection,),) = sender.idle_connections.values()
+        idle_since_s = connection.idle_since_s
+        await asyncio.sleep(0.05)
+        late = attempt("r2")._replace(deadline_at_s=0.0)
+        assert failure_kind(await sender.send(late)) is Kind.NOT_SENT
+        ((connection,),) = sender.idle_connections.values()
+        assert connection.idle_since_s == idle_since_s
+        assert server.connections == 1
+
+    run(echo(), scenario)
