Disconnect followers that do nothing, and let soaked servers pause and leave

A link that never says what it knows was kept for ever. The soak's servers now also refuse with Retry-After, send an earlier refusal once more, and say Server-Leaving while they drain.

--- a/src/samphirelug/components/following/const.py
+++ b/src/samphirelug/components/following/const.py
@@ -43,6 +43,8 @@
 REPLACE_INTERVAL_S = 1.0
 # A follower that has not taken a frame for this long is disconnected.
 CONGESTED_AFTER_S = 5.0
+# A follower that has not said what it knows within this time is disconnected.
+HELLO_TIMEOUT_S = 3.0
 # Largest frame; a list of 20,000 backend servers fits.
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 # Maximum number of followers of one host.
--- a/src/samphirelug/components/following/coordinator.py
+++ b/src/samphirelug/components/following/coordinator.py
@@ -125,14 +125,7 @@
         self._check_sources(now)
         self._check_direct(now)
         for follower in list(self.followers):
-            if not follower.link.is_congested:
-                follower.taken_at_s = now
-                self._send_due(follower)
-            elif now - follower.taken_at_s > const.CONGESTED_AFTER_S:
-                _LOGGER.info(
-                    "follower takes no frames", extra={"host": follower.name}
-                )
-                follower.close()
+            self._check_follower(follower, now)
         if now - self.beat_at_s >= const.BEAT_INTERVAL_S:
             self._send_beats(now)
         else:
@@ -356,6 +349,22 @@
         ]
         return first
 
+    def _check_follower(
+        self, follower: sessions.FollowerSession, now: float
+    ) -> None:
+        if not follower.link.is_congested:
+            follower.taken_at_s = now
+            self._send_due(follower)
+        if now - follower.taken_at_s > const.CONGESTED_AFTER_S or (
+            not follower.sent
+            and now - follower.accepted_at_s > const.HELLO_TIMEOUT_S
+        ):
+            _LOGGER.info(
+                "follower takes or sends no frames",
+                extra={"host": follower.name},
+            )
+            follower.close()
+
     def _send_updates(self) -> None:
         for follower in list(self.followers):
             if not follower.link.is_congested:
--- a/src/samphirelug/components/following/sessions.py
+++ b/src/samphirelug/components/following/sessions.py
@@ -100,6 +100,8 @@
         # Revisions that the follower has or that are on their way to it;
         # empty until it has sent its own.
         self.sent: dict[feed.ObjectKind, int] = {}
+        self.accepted_at_s = now
+        # Time at which the link was last not congested.
         self.taken_at_s = now
         self.closed = False
 
--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -126,6 +126,24 @@
     handler.stray_answer_rate = 0.0
 
 
+async def repeat_refusals(world: soak_world.World, duration_s: float) -> None:
+    """Let a server send an earlier refusal again before some answers."""
+    handler = world.rng.choice(list(world.servers.values())).handler
+    handler.refusal_rate = 0.2
+    handler.repeated_refusal_rate = world.rng.uniform(0.1, 0.6)
+    await asyncio.sleep(duration_s)
+    handler.refusal_rate = handler.repeated_refusal_rate = 0.0
+
+
+async def ask_for_pauses(world: soak_world.World, duration_s: float) -> None:
+    """Let a server refuse some requests with a Retry-After time."""
+    handler = world.rng.choice(list(world.servers.values())).handler
+    handler.refusal_rate = 0.2
+    handler.retry_after_s = world.rng.uniform(0.2, 2.0)
+    await asyncio.sleep(duration_s)
+    handler.refusal_rate = handler.retry_after_s = 0.0
+
+
 async def corrupt_store(world: soak_world.World, duration_s: float) -> None:
     """Store malformed entries and an old or malformed configuration."""
     malformed: list[object] = [
@@ -165,6 +183,8 @@
     replace_server,
     fail_some_requests,
     send_stray_answers,
+    repeat_refusals,
+    ask_for_pauses,
     corrupt_store,
     configure,
 )
--- a/standins/soak/servers.py
+++ b/standins/soak/servers.py
@@ -47,6 +47,11 @@
         # request answered last.
         self.stray_answer_rate = 0.0
         self.last_answered_id = ""
+        # Fraction of answers that are preceded by the latest refusal.
+        self.repeated_refusal_rate = 0.0
+        self.last_refused_id = ""
+        # Retry-After of refusals in seconds; 0 for none.
+        self.retry_after_s = 0.0
         self.drain_started_s: float | None = None
 
     def may_run_concurrently(
@@ -80,8 +85,12 @@
             self.run_log.late_arrivals.append(
                 (self.instance_id, request_id, late_s)
             )
+            headers.append(("Server-Leaving", "1"))
         if self.running >= self.slots or self.rng.random() < self.refusal_rate:
             headers.append(("X-Samphirelug-Not-Executed", "1"))
+            if self.retry_after_s:
+                headers.append(("Retry-After", f"{self.retry_after_s:.2f}"))
+            self.last_refused_id = request_id
             return http_model.Response(503, "Full", tuple(headers), b"")
         self.run_log.runs[request_id] += 1
         self.running += 1
@@ -109,6 +118,16 @@
                 "Content-Length: 5\r\n\r\nstrayHTTP/1.1 200 OK"
             )
         self.last_answered_id = request_id
+        if (
+            self.last_refused_id
+            and self.rng.random() < self.repeated_refusal_rate
+        ):
+            reason = (
+                f"Full\r\n{REQUEST_ID}: {self.last_refused_id}\r\n"
+                "X-Samphirelug-Not-Executed: 1\r\n"
+                "Content-Length: 0\r\n\r\nHTTP/1.1 200 OK"
+            )
+            return http_model.Response(503, reason, tuple(headers), body)
         return http_model.Response(200, reason, tuple(headers), body)
 
 
--- a/tests/components/following/test_coordinator.py
+++ b/tests/components/following/test_coordinator.py
@@ -4,6 +4,8 @@
 
 from samphirelug.components.fleet import model as fleet_model
 from samphirelug.components.following import const
+from samphirelug.components.following import frames
+from samphirelug.components.following import links
 from samphirelug.components.following import plan
 from samphirelug.components.store import feed
 from samphirelug.components.store import model
@@ -290,3 +292,52 @@
     per_host_s = (world.sent_bytes - sent_bytes) / 20.0 / len(world.hosts)
     # Two links with two beats a second, of 5 bytes each, and the revisions.
     assert per_host_s < 100
+
+
+class StuckLink(links.FrameLink):
+    """Count frames that the other end does not take."""
+
+    def __init__(self, *, is_congested: bool) -> None:
+        self.congested = is_congested
+        self.sent = 0
+        self.closed = False
+
+    @property
+    def is_congested(self) -> bool:
+        """Return whether earlier frames have not been taken yet."""
+        return self.congested
+
+    def send(self, frame: bytes) -> None:
+        """Count the frame."""
+        del frame
+        self.sent += 1
+
+    def close(self) -> None:
+        """Record the end of the link."""
+        self.closed = True
+
+
+def test_followers_that_do_nothing_are_disconnected() -> None:
+    """Guard against memory and sockets held by stuck followers."""
+    world = make_world()
+    host = world.hosts["a1-0"]
+    silent = StuckLink(is_congested=False)
+    assert host.coordinator.accept(silent) is not None
+    stuck = StuckLink(is_congested=False)
+    session = host.coordinator.accept(stuck)
+    assert session is not None
+    session.handle_frame(
+        frames.encode(
+            frames.Hello(const.PROTOCOL_VERSION, "x", [0] * len(frames.KINDS))
+        )
+    )
+    sent = stuck.sent
+    assert sent
+    stuck.congested = True
+    world.change(Kind.CONFIGURATION, "main")
+    world.run(1.0)
+    assert stuck.sent == sent
+    assert not (silent.closed or stuck.closed)
+    world.run(const.CONGESTED_AFTER_S + 1.0)
+    assert silent.closed
+    assert stuck.closed
