Do not repeat a request that must run once at a server that refused it

Cause: a server that refuses although it has a free slot was tried again, for requests of both kinds. If it is faulty and writes the refusal once more in front of the answer to the repeat, the copy has the repeat's own request id: the host said "not run" about a request that ran, or sent it on to a second server.

Change: only idempotent requests are tried again at the same server; others go on to the next one. In test_server_that_refuses_with_a_free_slot_is_tried_ again the request is an idempotent one now; the new test asks that the other kind reaches each server once.

--- a/src/samphirelug/components/forwarding/forwarder.py
+++ b/src/samphirelug/components/forwarding/forwarder.py
@@ -207,7 +207,10 @@
                     or route.idempotent
                 ):
                     return _final_result(summary, None)
-                if failed_attempt.refused_with_free_slot:
+                # A faulty server may send an earlier refusal again. One of the
+                # same request could not be told from the answer to a repeat
+                # there, so that only idempotent requests are repeated.
+                if route.idempotent and failed_attempt.refused_with_free_slot:
                     tried.discard(instance_id)
             if (
                 len(tried) >= route.max_attempts
