Announce a start without making every host a monitor

Cause: a host's start was told to all hosts as a beat, and whoever gets a beat takes itself for a monitor of its sender: it asks the host when no beats follow, each 1.6 s, without end. Each host that heard from one that it had marked absent told all others so. Seen in the logs of the small twin: a running host reported as absent by a former monitor that it did not answer.

Change: a start and the answer to a question are a notice of their own kind; a monitor that gets one is no monitor until the next beat. Only those report a host's return who reported its absence or get its beats.

Result: test_notices_do_not_grow_when_all_hosts_have_started and test_return_of_a_host_is_told_by_few_hosts fail without the change.

--- a/src/samphirelug/components/fleet/const.py
+++ b/src/samphirelug/components/fleet/const.py
@@ -1,7 +1,9 @@
 """Define notices and times for the detection of failed entry hosts."""
 
 # Kinds of notices:
-# - BEAT is the heartbeat of a running host.
+# - BEAT is the heartbeat of a running host, sent to its monitors only.
+# - ALIVE says that the sender runs, after its start or an ASK. Whoever gets it
+#   is not a monitor for that.
 # - ASK requests a beat from a host that has been silent.
 # - ABSENT reports that a host is silent, PRESENT that it is heard again.
 # - LEAVING announces that the sender is about to stop.
@@ -10,6 +12,7 @@
 ABSENT = "absent"
 PRESENT = "present"
 LEAVING = "leaving"
+ALIVE = "alive"
 
 BEAT_INTERVAL_S = 0.75
 # Number of hosts that monitor each host. With two of them, a failure is still
@@ -23,8 +26,8 @@
 # A longer gap between two ticks means that this process was suspended. The
 # event loop of a healthy process is never delayed this long.
 SUSPENDED_AFTER_S = 1.5
-# Notices other than BEAT and ASK are sent a second time after this delay,
-# since datagrams may be lost.
+# Notices other than BEAT, ASK and answers to it are sent a second time after
+# this delay, since datagrams may be lost.
 RESEND_DELAY_S = 0.3
 # A silent cut from the store is noticed within about three seconds, when the
 # keep-alive probes of its connections fail. The beats of other hosts stop at
--- a/src/samphirelug/components/fleet/io_datagrams.py
+++ b/src/samphirelug/components/fleet/io_datagrams.py
@@ -22,6 +22,7 @@
     const.ABSENT,
     const.PRESENT,
     const.LEAVING,
+    const.ALIVE,
 )
 
 
@@ -146,7 +147,10 @@
     def _send(self, outgoing: fleet_roster.OutgoingNotice) -> None:
         data = encode(outgoing.notice)
         self._send_datagrams(data, outgoing.recipients)
-        if outgoing.notice.kind in (const.BEAT, const.ASK):
+        if outgoing.notice.kind in (const.BEAT, const.ASK) or (
+            outgoing.notice.kind == const.ALIVE
+            and len(outgoing.recipients) == 1
+        ):
             return
         self.timer.call_at(
             when_s=self.timer.monotonic() + const.RESEND_DELAY_S,
--- a/src/samphirelug/components/fleet/roster.py
+++ b/src/samphirelug/components/fleet/roster.py
@@ -258,7 +258,7 @@
     def start_notice(self) -> OutgoingNotice:
         """Return a notice to all known hosts that this host runs."""
         return OutgoingNotice(
-            self._own_notice(const.BEAT), tuple(self._known_hosts())
+            self._own_notice(const.ALIVE), tuple(self._known_hosts())
         )
 
     def leaving_notice(self) -> OutgoingNotice:
@@ -290,6 +290,8 @@
             return []
         record.heard_at_s = now
         record.heard = True
+        # Those who reported it as absent report that it is back.
+        reports_return = record.silent or notice.kind == const.BEAT
         record.silent = False
         if notice.kind == const.LEAVING:
             record.leaving = True
@@ -300,13 +302,14 @@
         answers = []
         if notice.kind == const.ASK:
             if self.is_ready():
-                beat = self._own_notice(const.BEAT)
-                answers.append(OutgoingNotice(beat, (record.host,)))
+                alive = self._own_notice(const.ALIVE)
+                answers.append(OutgoingNotice(alive, (record.host,)))
         else:
-            record.monitored = True
+            # A host that answers and sends no beats has other monitors.
+            record.monitored = notice.kind == const.BEAT
             if notice.evacuations is not None and self.evacuations is not None:
                 self.evacuations.receive(notice.evacuations, host=notice.name)
-        if record.absent:
+        if record.absent and reports_return:
             present = Notice(const.PRESENT, notice.name, notice.incarnation)
             answers.append(OutgoingNotice(present, tuple(self.serving())))
         self._mark_present(record, notice)
@@ -317,7 +320,7 @@
 
     def _own_notice(self, kind: str) -> Notice:
         evacuations = None
-        if kind == const.BEAT and self.evacuations is not None:
+        if kind in (const.BEAT, const.ALIVE) and self.evacuations is not None:
             evacuations = self.evacuations.current()
         return Notice(kind, self.own.name, self.own.incarnation, evacuations)
 
--- a/tests/components/fleet/test_roster.py
+++ b/tests/components/fleet/test_roster.py
@@ -248,3 +248,61 @@
     assert fleet.serving_names("h0") == {"h3", "h4"}
     fleet.run(2)
     assert fleet.serving_names("h0") == {"h2", "h3", "h4"}
+
+
+def test_notices_do_not_grow_when_all_hosts_have_started() -> None:
+    """Guard against hosts that all ask each host that has started.
+
+    A start was told to all hosts as a beat, and each of them took itself for
+    a monitor: on the large site, 195 hosts asked each other without end.
+    """
+    fleet = Fleet(40)
+    for roster in fleet.rosters.values():
+        fleet.deliver([roster.start_notice()])
+    fleet.sent_count = 0
+    fleet.run(15)
+    per_host_s = fleet.sent_count / 40 / 15
+    assert per_host_s < 2 * const.MONITORS_PER_HOST / const.BEAT_INTERVAL_S
+
+
+def test_return_of_a_host_is_told_by_few_hosts() -> None:
+    """Guard against notices of all hosts to all hosts about one."""
+    fleet = Fleet(40)
+    fleet.run(5)
+    fleet.stopped.add("h7")
+    fleet.run(8)
+    assert "h7" not in fleet.serving_names("h0")
+    fleet.stopped.clear()
+    notice = fleet.rosters["h7"].start_notice().notice
+    # The announcement arrives everywhere before any report of it.
+    reports = [
+        report
+        for name, roster in fleet.rosters.items()
+        if name != "h7"
+        for report in roster.receive(notice, now=fleet.now)
+    ]
+    for name in fleet.rosters:
+        if name != "h7":
+            assert "h7" in fleet.serving_names(name)
+    # Its former monitors report that it is back.
+    assert len(reports) <= const.MONITORS_PER_HOST
+
+
+def test_host_that_is_called_absent_by_mistake_is_listed_again() -> None:
+    """Guard against a running host that stays out of look-up answers."""
+    fleet = Fleet(12)
+    fleet.run(5)
+    subject = fleet.rosters["h3"].own
+    for name, roster in fleet.rosters.items():
+        if name != "h3":
+            record = roster.records["h3"]
+            record.heard_at_s = -100.0
+            roster.receive(
+                fleet_roster.Notice(const.ABSENT, "h3", subject.incarnation),
+                now=fleet.now,
+            )
+    assert "h3" not in fleet.serving_names("h0")
+    fleet.run(3)
+    for name in fleet.rosters:
+        if name != "h3":
+            assert "h3" in fleet.serving_names(name)
