--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -1,7 +1,7 @@
 """Measure how costs grow with size and extrapolate to the full size.
 
 python -m benchmarks.capacity [all|catalogue|messages|peers|seats|lookup|
-store|traffic|faults]. docs/CAPACITY.md explains the figures.
+store|traffic|faults|following]. docs/CAPACITY.md explains the figures.
 """
 
 from collections.abc import Callable
@@ -20,6 +20,7 @@
 import typer
 
 from benchmarks import capacity_faults
+from benchmarks import capacity_following
 from benchmarks import capacity_store
 from samphirelug.components.catalogue import codec as catalogue_codec
 from samphirelug.components.catalogue import model as catalogue_model
@@ -535,6 +536,12 @@
             )
 
 
+def measure_following() -> None:
+    """Measure following the store through other hosts by number of hosts."""
+    for title, sizes, values, unit in capacity_following.measure(cpu_time_ms):
+        print_fit(title, sizes, values, unit=unit, target=HOSTS)
+
+
 # Measurements by the name given on the command line.
 PARTS: dict[str, Callable[[], None]] = {
     "catalogue": measure_catalogue,
@@ -545,6 +552,7 @@
     "store": measure_store,
     "traffic": measure_traffic,
     "faults": measure_faults,
+    "following": measure_following,
 }
 
 
