--- a/src/samphirelug/forwarding_host.py
+++ b/src/samphirelug/forwarding_host.py
@@ -134,7 +134,7 @@
             drain_s=settings.drain_s,
             set_direct=self._set_direct,
         )
-        self.followers = {
+        self.store_followers = {
             kind: follower.ObjectFollower(
                 feed=feed,
                 view=view,
@@ -188,8 +188,8 @@
     def ready(self) -> bool:
         """Return whether look-up answers may list this host.
 
-        It serves only with a configuration, the backend servers and the
-        evacuated zones.
+        It serves only once it has read the configuration, the backend
+        servers, the evacuated zones and the other hosts.
         """
         return (
             self.configuration.table is not None
@@ -254,12 +254,10 @@
             asyncio.ensure_future(
                 self.run_forever(self._remove_lost_hosts, name="lost hosts")
             ),
-        ]
-        self.tasks.append(
             asyncio.ensure_future(
                 self.run_forever(self._follow, name="following")
-            )
-        )
+            ),
+        ]
         _LOGGER.info(
             "entry host started",
             extra={
@@ -297,7 +295,7 @@
             return
         self.reading_tasks = [
             asyncio.ensure_future(self.run_forever(item.run, name=kind))
-            for kind, item in self.followers.items()
+            for kind, item in self.store_followers.items()
         ]
 
     def _max_backoff_s(self) -> float:
--- a/tests/test_forwarding_host.py
+++ b/tests/test_forwarding_host.py
@@ -128,7 +128,7 @@
     """Let the host follow the store for a while."""
     tasks = [
         asyncio.ensure_future(host.run_forever(item.run, name=kind))
-        for kind, item in host.followers.items()
+        for kind, item in host.store_followers.items()
     ]
     await asyncio.sleep(seconds)
     for task in tasks:
