Let hosts read the store soon when all of them have just started

Cause: a starting host waited up to 2 s for its sources, and 3 s for one that refused the connection because it was starting too. After a power loss of all hosts nobody has anything to pass on, except for the watchers half a second later.

Change: a restarted host waits 0.3 s, in which a source that runs has sent everything, and looks each 0.1 s; it ends reading when its sources are current. When the whole system starts for the first time it waits 3 s, since callers come later.

A single restart makes no call for it.

--- a/src/samphirelug/components/following/const.py
+++ b/src/samphirelug/components/following/const.py
@@ -24,18 +24,24 @@
 MAX_BEAT_RATIO = 1.2
 # A source that has been silent this long is replaced.
 SILENT_AFTER_S = 2.2
-# Interval of the checks of sources and followers.
+# Interval of the checks of sources and followers, and the one at the start
+# until all views have been read.
 TICK_INTERVAL_S = 0.4
+START_TICK_INTERVAL_S = 0.1
 # A view older than this share of the time in which a change must be in force
 # makes the host read the store itself, as does one older than the maximum.
 STALE_RATIO = 0.6
 MAX_STALE_S = 2.0
 # Time that a starting host waits for its first view from its sources, while
-# it has any.
-START_PATIENCE_S = 2.0
+# it has any, before it reads the store itself. A source that runs sends its
+# view within it; after a restart of many hosts none has any.
+START_PATIENCE_S = 0.3
+# The same when the whole system starts for the first time: there is time until
+# callers come, and reading the store costs each host many calls.
+FIRST_START_PATIENCE_S = 3.0
 # Time for which a starting host waits for its first source before it dials
 # another one, as each sends it all objects.
-FIRST_SOURCE_PATIENCE_S = 0.6
+FIRST_SOURCE_PATIENCE_S = 0.15
 # Spread of the first reads of hosts whose sources have lost the store.
 STALE_SPREAD_S = 1.0
 # A host that reads the store since its sources failed goes on at least for
@@ -44,6 +50,7 @@
 # A failed candidate is not tried again for this long, and one whose view was
 # too old for longer, so that all others are tried first.
 RETRY_CANDIDATE_AFTER_S = 3.0
+RETRY_CANDIDATE_AT_START_S = 0.5
 RETRY_OLD_CANDIDATE_AFTER_S = 10.0
 # Minimum time between two replacements of sources that are alive but old.
 REPLACE_INTERVAL_S = 1.0
--- a/src/samphirelug/components/following/coordinator.py
+++ b/src/samphirelug/components/following/coordinator.py
@@ -45,6 +45,7 @@
         timer: timer_helper.TimerService,
         rng: random.Random,
         drain_s: float,
+        start_patience_s: float,
         set_direct: Callable[[bool], None],
     ) -> None:
         self.own = own
@@ -56,10 +57,13 @@
         self.timer = timer
         self.rng = rng
         self.set_drain_time(drain_s)
+        self.start_patience_s = start_patience_s
         # Starts or ends reading the store.
         self.set_direct = set_direct
         self.direct = False
         self.direct_since_s = 0.0
+        # Whether it began to read the store without any view.
+        self.direct_at_start = False
         # Time from which this host may read the store because its sources
         # are old; None while they are not.
         self.direct_due_at_s: float | None = None
@@ -235,7 +239,11 @@
         if reason == TOO_OLD:
             self.failed_until_s[name] = now + const.RETRY_OLD_CANDIDATE_AFTER_S
         elif reason != REPLACED:
-            self.failed_until_s[name] = now + const.RETRY_CANDIDATE_AFTER_S
+            self.failed_until_s[name] = now + (
+                const.RETRY_CANDIDATE_AFTER_S
+                if self.is_complete
+                else const.RETRY_CANDIDATE_AT_START_S
+            )
         for host, until_s in list(self.failed_until_s.items()):
             if until_s <= now:
                 del self.failed_until_s[host]
@@ -279,7 +287,10 @@
         age_s = self._sources_age_s(now)
         if age_s <= self.stale_after_s:
             self.direct_due_at_s = None
-            if self.direct and now - self.direct_since_s >= const.MIN_DIRECT_S:
+            if self.direct and (
+                self.direct_at_start
+                or now - self.direct_since_s >= const.MIN_DIRECT_S
+            ):
                 self._switch_direct(False, now, "sources are current")
             return
         if self.direct:
@@ -295,7 +306,7 @@
             started_at_s = (
                 now if self.started_at_s is None else (self.started_at_s)
             )
-            return max(now, started_at_s + const.START_PATIENCE_S)
+            return max(now, started_at_s + self.start_patience_s)
         if any(
             now - session.reported_at_s <= const.SILENT_AFTER_S
             for session in self.sources.values()
@@ -318,6 +329,7 @@
         )
         self.direct = direct
         self.direct_since_s = now
+        self.direct_at_start = not self.is_complete
         self.direct_due_at_s = None
         self.set_direct(direct)
 
--- a/src/samphirelug/forwarding_host.py
+++ b/src/samphirelug/forwarding_host.py
@@ -132,6 +132,9 @@
             timer=timer,
             rng=random.Random(),
             drain_s=settings.drain_s,
+            start_patience_s=following_const.FIRST_START_PATIENCE_S
+            if settings.first_start
+            else following_const.START_PATIENCE_S,
             set_direct=self._set_direct,
         )
         self.store_followers = {
@@ -283,7 +286,11 @@
             await self.timer.sleep(FOLLOW_POLL_INTERVAL_S)
         while True:
             self.coordinator.tick()
-            await self.timer.sleep(following_const.TICK_INTERVAL_S)
+            await self.timer.sleep(
+                following_const.TICK_INTERVAL_S
+                if self.coordinator.is_complete
+                else following_const.START_TICK_INTERVAL_S
+            )
 
     def _set_direct(self, direct: bool) -> None:
         """Start or stop reading the store."""
--- a/standins/simulation/following.py
+++ b/standins/simulation/following.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
+from functools import partial
 import heapq
 import itertools
 import random
@@ -54,8 +55,18 @@
     """Hold the store, the hosts and the faults."""
 
     def __init__(
-        self, *, zones: dict[str, str], hosts_per_zone: int, seed: int = 1
+        self,
+        *,
+        zones: dict[str, str],
+        hosts_per_zone: int,
+        seed: int = 1,
+        start_patience_s: float = const.FIRST_START_PATIENCE_S,
+        list_s: float = 0.0,
+        start_spread_s: float = 0.0,
     ) -> None:
+        self.start_patience_s = start_patience_s
+        # Time that the first lists of a host take.
+        self.list_s = list_s
         self.timer = timer_helper.ManualTimerService()
         self.rng = random.Random(seed)
         self.revision = 1
@@ -91,6 +102,14 @@
         }
         for host in self.hosts.values():
             host.roster.update_from_list(instances, now=0.0)
+        # Until a host has started, connections to it are refused.
+        for name in self.hosts:
+            if start_spread_s:
+                self.killed.add(name)
+                self.schedule(
+                    self.rng.uniform(0.0, start_spread_s),
+                    partial(self.killed.discard, name),
+                )
 
     def schedule(self, delay_s: float, action: Callable[[], None]) -> None:
         """Run an action later."""
@@ -132,6 +151,16 @@
         for link in list(host.links):
             link.close()
 
+    def start_again(self, name: str) -> None:
+        """Start a host that was killed, without what it knew."""
+        instance = self.hosts[name].roster.own
+        self.killed.discard(name)
+        self.hosts[name] = SimulatedHost(instance, world=self)
+        self.hosts[name].roster.update_from_list(
+            [host.roster.own for host in self.hosts.values()],
+            now=self.timer.now_s,
+        )
+
     def mark_absent(self, name: str) -> None:
         """Let all hosts know that one is absent, as its monitors tell."""
         for host in self.hosts.values():
@@ -294,6 +323,7 @@
             timer=world.timer,
             rng=world.rng,
             drain_s=DRAIN_S,
+            start_patience_s=world.start_patience_s,
             set_direct=self.set_direct,
         )
 
@@ -301,6 +331,8 @@
         """Start or end reading the store."""
         self.reading = direct
         self.next_read_at_s = 0.0
+        if not self.coordinator.is_complete:
+            self.next_read_at_s = self.world.timer.now_s + self.world.list_s
         if direct:
             self.world.store_calls += len(self.views)
         else:
@@ -312,7 +344,11 @@
         if self.reading and now >= self.next_read_at_s:
             self._read(now)
         if now >= self.next_tick_at_s:
-            self.next_tick_at_s = now + const.TICK_INTERVAL_S
+            self.next_tick_at_s = now + (
+                const.TICK_INTERVAL_S
+                if self.coordinator.is_complete
+                else const.START_TICK_INTERVAL_S
+            )
             self.coordinator.tick()
 
     def _read(self, now: float) -> None:
--- a/tests/components/following/test_coordinator.py
+++ b/tests/components/following/test_coordinator.py
@@ -357,3 +357,53 @@
     world.run(const.CONGESTED_AFTER_S + 1.0)
     assert silent.closed
     assert stuck.closed
+
+
+@pytest.mark.parametrize("hosts_per_zone", [2, 12, 33])
+def test_all_hosts_know_everything_soon_after_they_lost_power(
+    hosts_per_zone: int,
+) -> None:
+    """Guard against hosts that wait for sources which have nothing either.
+
+    Large trouble-1 served 0.014 of its worth for two seconds after all hosts
+    had lost power (journal 520cb67d); 0.253 when each host read the store.
+    """
+    world = following.World(
+        zones=ZONES,
+        hosts_per_zone=hosts_per_zone,
+        start_patience_s=const.START_PATIENCE_S,
+        list_s=0.45,
+        start_spread_s=1.0,
+    )
+    # A host that has just started needs its patience and the lists.
+    world.run(1.0 + const.START_PATIENCE_S + 0.45 + 0.3)
+    assert world.behind() == []
+    world.run(3.0)
+    assert world.readers() == set(watchers(world))
+
+
+def test_single_host_that_starts_again_does_not_read_the_store() -> None:
+    """Guard against calls for each restart while others know everything."""
+    world = make_world(12)
+    name = next(
+        host
+        for host in world.hosts
+        if host not in watchers(world)
+        and host not in relays(world, host.partition("-")[0])
+    )
+    world.kill(name)
+    calls = world.store_calls
+    world.start_patience_s = const.START_PATIENCE_S
+    world.start_again(name)
+    world.run(0.4)
+    assert world.behind() == []
+    world.run(2.0)
+    assert world.store_calls == calls
+
+
+def test_first_start_reads_the_store_at_few_hosts() -> None:
+    """Guard against calls of all hosts while there is time."""
+    world = following.World(zones=ZONES, hosts_per_zone=33, list_s=0.45)
+    world.run(3.0)
+    assert world.behind() == []
+    assert world.store_calls <= 8 * len(world.readers())
--- a/tests/components/following/test_io_websockets.py
+++ b/tests/components/following/test_io_websockets.py
@@ -56,6 +56,7 @@
             timer=self.timer,
             rng=random.Random(1),
             drain_s=4.0,
+            start_patience_s=const.FIRST_START_PATIENCE_S,
             set_direct=self.set_direct,
         )
         self.server = io_websockets.serve(
