--- a/src/samphirelug/components/following/coordinator.py
+++ b/src/samphirelug/components/following/coordinator.py
@@ -79,7 +79,7 @@
         # Time of the first check; None before it.
         self.started_at_s: float | None = None
         self.beat_at_s = float("-inf")
-        # Age that followers were last told, and when.
+        # Age that followers were last told.
         self.told_age_s = sessions.NEVER
         # Link on which the news of a leaving server is arriving.
         self.leaving_origin: object = None
