Do not register again while stopping

Cause: a host whose entry is missing writes it again, so that one that was only out of touch is known. That also held for a host that had removed its entry to stop: it wrote it again within 2 s, and others named it in look-ups after it had gone.

Change: nothing is written after the entry was removed for the stop.

Result: test_host_that_stops_does_not_register_again fails without the change.

--- a/src/samphirelug/components/fleet/enrolment.py
+++ b/src/samphirelug/components/fleet/enrolment.py
@@ -42,6 +42,8 @@
         # Revision of this host's entry; 0 before it is registered.
         self.entry_revision = 0
         self.entry_exists = False
+        # Whether this host has removed its entry, since it stops.
+        self.deregistered = False
         # Whether other hosts are known, or that there are none.
         self.searched = False
 
@@ -70,7 +72,8 @@
             delay_s = min(const.CHECK_INTERVAL_S, 2 * delay_s)
 
     async def deregister(self) -> None:
-        """Remove this host's entry."""
+        """Remove this host's entry for good."""
+        self.deregistered = True
         await self.feed.delete(
             store_feed.ObjectKind.ENTRY_HOSTS, self.roster.own.name
         )
@@ -100,6 +103,8 @@
         )
 
     async def _register(self) -> None:
+        if self.deregistered:
+            return
         own = self.roster.own
         written = await self.feed.put(
             store_feed.ObjectKind.ENTRY_HOSTS,
--- a/tests/components/fleet/test_enrolment.py
+++ b/tests/components/fleet/test_enrolment.py
@@ -190,6 +190,23 @@
     assert "replace" in setup.feed.calls
 
 
+def test_host_that_stops_does_not_register_again() -> None:
+    """Guard against look-up answers that name a host that has stopped.
+
+    Seen in a hunt (ishikari-fold, deploy/days/herd-restart.toml --vary --seed
+    352823799908): a stopping host saw its entry missing and wrote it again.
+    """
+    setup = Setup(HostFeed())
+    asyncio.run(setup.run())
+    asyncio.run(setup.enrolment.deregister())
+    setup.feed.calls.clear()
+    setup.view.replace_all(
+        model.Listing(9, setup.feed.listing().objects[1:]), grace_s=0.0
+    )
+    asyncio.run(setup.run())
+    assert setup.feed.calls == []
+
+
 def test_entries_of_lost_hosts_are_removed() -> None:
     """Guard against a list that grows with each replaced host."""
     setup = Setup(HostFeed())
