--- a/review/standins/platform_world.py
+++ b/review/standins/platform_world.py
@@ -643,6 +643,10 @@
         }
         if key:
             headers["Cookie"] = f"X-Samphirelug-Affinity-Key={key}"
+        self.record.write(
+            f"client: {request_id} is sent to {self.host.name}:"
+            f" {method} {path}, {len(body)} bytes of body"
+        )
         answer = None
         with contextlib.suppress(OSError):
             start = f"{method} {path} HTTP/1.1"
@@ -704,7 +708,7 @@
     record.write("with the disruption" if in_trouble else "no disruption")
     try:
         broken = asyncio.run(play(record, in_trouble))
-    except (CannotRunError, TimeoutError, OSError) as error:
+    except Exception as error:
         record.write(f"the case could not run: {error!r}")
         sys.stderr.write(f"the case could not run: {error!r}\n")
         return 2
