Count the memory that answers take instead of the bytes of their bodies

Cause: a server sent a body in chunks of four bytes without end. The parser kept each chunk as an object of its own, which takes some 40 bytes more than its content, and the limits counted only bytes of bodies.

Evidence: with tracemalloc, 200,000 bytes of body in chunks of 1, 4 and 100 bytes took more than 1.2 times that, larger chunks did not. Five cases of tests/components/http/test_body_buffer.py failed before.

--- a/src/samphirelug/components/http/answer_memory.py
+++ b/src/samphirelug/components/http/answer_memory.py
@@ -21,8 +21,9 @@
         if parser.too_large:
             self.release(parser)
             return
-        self.total_bytes += parser.body_bytes - self.held_bytes.get(parser, 0)
-        self.held_bytes[parser] = parser.body_bytes
+        held_bytes = parser.held_bytes
+        self.total_bytes += held_bytes - self.held_bytes.get(parser, 0)
+        self.held_bytes[parser] = held_bytes
         if self.total_bytes <= self.limit_bytes:
             return
         largest = max(self.held_bytes, key=self.held_bytes.__getitem__)
--- a/src/samphirelug/components/http/response_parser.py
+++ b/src/samphirelug/components/http/response_parser.py
@@ -4,6 +4,7 @@
 
 import httptools
 
+from samphirelug.components.http import body_buffer
 from samphirelug.components.http import const
 
 # Responses with a lower status are interim; the final response follows.
@@ -21,7 +22,9 @@
         self.status = 0
         self.reason = ""
         self.headers: list[tuple[str, str]] = []
-        self.chunks: list[bytes] = []
+        self.buffer = body_buffer.BodyBuffer()
+        # Bytes of memory that the header fields take.
+        self.field_bytes = 0
         self.has_headers = False
         self.keep_alive = False
 
@@ -35,7 +38,12 @@
     @property
     def body(self) -> bytes:
         """Return the body received so far."""
-        return b"".join(self.chunks)
+        return self.buffer.to_bytes()
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes of memory that fields and body take."""
+        return self.field_bytes + self.buffer.held_bytes
 
     @property
     def is_close_delimited(self) -> bool:
@@ -105,6 +113,14 @@
         self.current = None
         return True
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes of memory that the responses take."""
+        held_bytes = sum(response.held_bytes for response in self.completed)
+        if self.current is not None:
+            held_bytes += self.current.held_bytes
+        return held_bytes
+
     @property
     def is_at_boundary(self) -> bool:
         """Return whether no response, complete or partial, is left."""
@@ -126,9 +142,9 @@
         """Add a header field."""
         if self.current is None:
             return
-        self.current.headers.append(
-            (name.decode("latin-1"), value.decode("latin-1"))
-        )
+        field = (name.decode("latin-1"), value.decode("latin-1"))
+        self.current.headers.append(field)
+        self.current.field_bytes += body_buffer.field_size(field)
 
     def on_headers_complete(self) -> None:
         """Record the status; a final response to HEAD is complete now."""
@@ -148,7 +164,7 @@
         if self.body_bytes > const.MAX_ANSWER_BYTES:
             self.reject(f"a body of more than {const.MAX_ANSWER_BYTES} bytes")
             return
-        self.current.chunks.append(body)
+        self.current.buffer.append(body)
 
     def on_message_complete(self) -> None:
         """Add the response to the complete ones unless it is interim."""
