Join small chunks of a request's body as well

Seen in a test only: a caller that sends its body in chunks of a few bytes takes some 40 bytes of memory more for each chunk, so that a body within MaxBodyBytes can take many times its length.

Cause: the parser of requests kept each chunk as an object, as that of answers did. It uses the same blocks now.

Evidence: test_small_chunks_of_a_request_take_no_more_than_their_bytes failed before for chunks of 1, 4 and 100 bytes.

--- a/src/samphirelug/components/http/request_parser.py
+++ b/src/samphirelug/components/http/request_parser.py
@@ -5,6 +5,7 @@
 
 import httptools
 
+from samphirelug.components.http import body_buffer
 from samphirelug.components.http import const
 from samphirelug.components.routing import model as routing_model
 from samphirelug.helpers import timer as timer_helper
@@ -90,7 +91,7 @@
         self.target = b""
         self.headers: list[tuple[str, str]] = []
         self.header_bytes = 0
-        self.chunks: list[bytes] = []
+        self.buffer = body_buffer.BodyBuffer()
         self.body_bytes = 0
 
     # Callbacks of httptools
@@ -124,7 +125,7 @@
         self.body_bytes += len(body)
         if self.body_bytes > self.limits().max_body_bytes:
             raise RequestError(status=413)
-        self.chunks.append(body)
+        self.buffer.append(body)
 
     def on_message_complete(self) -> None:
         """Add the complete request to the list."""
@@ -133,10 +134,11 @@
             method=self.parser.get_method().decode("latin-1"),
             target=self.target.decode("latin-1"),
             headers=tuple(self.headers),
-            body=b"".join(self.chunks),
+            body=self.buffer.to_bytes(),
             received_at_s=self.timer.monotonic(),
         )
         keep_alive = bool(self.parser.should_keep_alive())
+        self.buffer = body_buffer.BodyBuffer()
         self.completed.append((message, keep_alive))
         self.expects_continue = False
         self.started_at_s = None
--- a/tests/components/http/test_body_buffer.py
+++ b/tests/components/http/test_body_buffer.py
@@ -8,8 +8,12 @@
 
 from samphirelug.components.http import answer_memory
 from samphirelug.components.http import body_buffer
+from samphirelug.components.http import request_parser
 from samphirelug.components.http import response_parser
+from samphirelug.helpers import timer as timer_helper
+from standins import forwarding as build
 
+REQUEST_HEAD = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 BODY_BYTES = 200_000
 LIMIT_BYTES = 1_000_000
@@ -75,6 +79,28 @@
     assert any(parser.too_large for parser in parsers)
 
 
+@pytest.mark.usefixtures("traced")
+@pytest.mark.parametrize("size", [1, 4, 100, 5000])
+def test_small_chunks_of_a_request_take_no_more_than_their_bytes(
+    size: int,
+) -> None:
+    """Guard against a host that dies of what a caller sends in chunks."""
+    limits = build.LIMITS._replace(max_body_bytes=BODY_BYTES)
+    parser = request_parser.RequestParser(
+        limits=lambda: limits, timer=timer_helper.ManualTimerService()
+    )
+    parser.feed(REQUEST_HEAD)
+    before, _ = tracemalloc.get_traced_memory()
+    for _ in range(10):
+        parser.feed(chunks(size, count=BODY_BYTES // size // 10))
+    gc.collect()
+    traced, _ = tracemalloc.get_traced_memory()
+    assert traced - before < 1.2 * BODY_BYTES
+    parser.feed(b"0\r\n\r\n")
+    ((message, _),) = parser.completed
+    assert message.body == b"a" * BODY_BYTES
+
+
 @pytest.mark.usefixtures("traced")
 def test_header_fields_count_with_the_memory_that_they_take() -> None:
     """Guard against heads of many short fields that are not counted."""
