Remove the entry that a stopped host could not remove itself

Cause: a host that stops removed its entry with one call and ignored the answer. The store was silent then, so that the entry stayed; the other hosts knew of the stop in memory only, and the restart made them forget it.

Evidence: no line 'entry of entry host removed' once the store was back, and 'entry host added' on all nine others after the restart.

Change: the stopping host goes on until the store answers, and hosts that read the store for others remove the entry two seconds after the announced stop, if it is still the one of that start.

--- a/src/samphirelug/components/fleet/const.py
+++ b/src/samphirelug/components/fleet/const.py
@@ -38,6 +38,11 @@
 # A host that has removed its entry is forgotten after this time. Until then
 # it may still serve requests, and has its share of what hosts have together.
 FORGET_AFTER_S = 20.0
+# A host that announced its stop removes its entry within this time, or cannot
+# reach the store; then another host removes it.
+LEFT_AFTER_S = 2.0
+# Interval of the checks for entries of hosts that stopped.
+STOPPED_CHECK_INTERVAL_S = 2.0
 # The entry of a host that was absent for this long is removed. The host may
 # only be out of touch, and goes on counting until then.
 LOST_AFTER_S = 600.0
--- a/src/samphirelug/components/fleet/enrolment.py
+++ b/src/samphirelug/components/fleet/enrolment.py
@@ -72,29 +72,41 @@
             delay_s = min(const.CHECK_INTERVAL_S, 2 * delay_s)
 
     async def deregister(self) -> None:
-        """Remove this host's entry for good."""
+        """Remove this host's entry for good; try until the store answers."""
         self.deregistered = True
-        await self.feed.delete(
-            store_feed.ObjectKind.ENTRY_HOSTS, self.roster.own.name
-        )
+        while isinstance(
+            await self.feed.delete(
+                store_feed.ObjectKind.ENTRY_HOSTS, self.roster.own.name
+            ),
+            Failure,
+        ):
+            await self.timer.sleep(RETRY_DELAY_S)
 
-    async def remove_lost_hosts(self) -> None:
-        """Remove the entries of hosts that have been absent for long.
+    async def remove_stopped_hosts(self) -> None:
+        """Remove the entries of hosts that stopped and left them behind.
 
         One that was only out of touch registers again when it is back.
         """
-        for name in self.roster.lost(now=self.timer.monotonic()):
-            stored = self.view.objects.get(name)
-            if stored is None:
+        for host in self.roster.stopped(now=self.timer.monotonic()):
+            stored = self.view.objects.get(host.name)
+            if (
+                stored is None
+                or host_entries.incarnation(stored) != host.incarnation
+            ):
                 continue
-            _LOGGER.info(
-                "removing the entry of a lost host", extra={"host": name}
-            )
-            await self.feed.delete(
+            removed = await self.feed.delete(
                 store_feed.ObjectKind.ENTRY_HOSTS,
-                name,
+                host.name,
                 revision=stored.revision,
             )
+            _LOGGER.info(
+                "removing the entry of a stopped host",
+                extra={
+                    "host": host.name,
+                    "revision": stored.revision,
+                    "answered": not isinstance(removed, Failure),
+                },
+            )
 
     def _is_entry_missing(self) -> bool:
         return (
--- a/src/samphirelug/components/fleet/host_entries.py
+++ b/src/samphirelug/components/fleet/host_entries.py
@@ -59,6 +59,12 @@
     return {**host._asdict(), "zone": host.zone._asdict()}
 
 
+def incarnation(stored: store_model.StoredObject) -> str | None:
+    """Return the incarnation that an entry names; None if malformed."""
+    host = _decode(stored)
+    return None if host is None else host.incarnation
+
+
 def decode_all(
     objects: Sequence[store_model.StoredObject],
 ) -> list[model.HostInstance]:
--- a/src/samphirelug/components/fleet/roster.py
+++ b/src/samphirelug/components/fleet/roster.py
@@ -49,6 +49,8 @@
         self.heard_at_s = now
         self.absent = False
         self.leaving = False
+        # Time at which it announced that it stops; None if it did not.
+        self.left_at_s: float | None = None
         # Whether this process is a monitor of the host: it gets its beats.
         self.monitored = False
         # Whether this process was a monitor until the beats stopped.
@@ -115,13 +117,15 @@
             if record is None:
                 self._add(host, now)
                 continue
+            if record.host.incarnation != host.incarnation:
+                record.left_at_s = None
+                record.leaving = False
             if record.unlisted_at_s is not None:
                 record.unlisted_at_s = None
-                record.leaving = False
+                # The store may carry out a registration after the removal.
+                record.leaving = record.left_at_s is not None
                 self.generation += 1
             if record.host != host:
-                if record.host.incarnation != host.incarnation:
-                    record.leaving = False
                 record.host = host
                 self.generation += 1
 
@@ -171,14 +175,25 @@
                 record, f"reported by {source}", now - record.heard_at_s
             )
 
-    def lost(self, *, now: float) -> list[str]:
-        """Return the names of the hosts that have been absent for long."""
+    def stopped(self, *, now: float) -> list[model.HostInstance]:
+        """Return the hosts that stopped and still have an entry.
+
+        They could not remove it when they left, or were lost long ago.
+        """
         return [
-            name
-            for name, record in self.records.items()
-            if record.absent
-            and record.unlisted_at_s is None
-            and now - record.heard_at_s > const.LOST_AFTER_S
+            record.host
+            for record in self.records.values()
+            if record.unlisted_at_s is None
+            and (
+                (
+                    record.left_at_s is not None
+                    and now - record.left_at_s > const.LEFT_AFTER_S
+                )
+                or (
+                    record.absent
+                    and now - record.heard_at_s > const.LOST_AFTER_S
+                )
+            )
         ]
 
     def _add(self, host: model.HostInstance, now: float) -> None:
@@ -295,6 +310,8 @@
         record.silent = False
         if notice.kind == const.LEAVING:
             record.leaving = True
+            if record.left_at_s is None:
+                record.left_at_s = now
             self.generation += 1
             record.monitored = False
             _LOGGER.info("entry host is leaving", extra={"host": notice.name})
@@ -344,6 +361,7 @@
         if notice.incarnation != record.host.incarnation:
             record.host = record.host._replace(incarnation=notice.incarnation)
             record.leaving = False
+            record.left_at_s = None
             self.generation += 1
         if record.absent:
             record.absent = False
--- a/src/samphirelug/forwarding_host.py
+++ b/src/samphirelug/forwarding_host.py
@@ -11,6 +11,7 @@
 from tornado import web
 
 from samphirelug.components.directory import answer as directory_answer
+from samphirelug.components.fleet import const as fleet_const
 from samphirelug.components.fleet import consumers
 from samphirelug.components.fleet import decoder as fleet_decoder
 from samphirelug.components.fleet import enrolment
@@ -55,9 +56,6 @@
 # Longest delay between calls to a store that does not answer, of a host that
 # reads it only since the hosts that it follows cannot.
 MAX_BACKOFF_S = 2.5
-# Interval at which a host that reads the store for others looks for hosts
-# that were lost for good.
-LOST_HOSTS_INTERVAL_S = 60.0
 # Delay before a task is started again that ended with an unexpected error.
 TASK_RESTART_DELAY_S = 1.0
 # Time that a host looks for others before it reads the store itself, and the
@@ -283,7 +281,9 @@
                 self.run_forever(self.enrolment.run, name="enrolment")
             ),
             asyncio.ensure_future(
-                self.run_forever(self._remove_lost_hosts, name="lost hosts")
+                self.run_forever(
+                    self._remove_stopped_hosts, name="stopped hosts"
+                )
             ),
             asyncio.ensure_future(
                 self.run_forever(self._follow, name="following")
@@ -349,11 +349,11 @@
             return follower.MAX_BACKOFF_S
         return MAX_BACKOFF_S
 
-    async def _remove_lost_hosts(self) -> None:
+    async def _remove_stopped_hosts(self) -> None:
         while True:
-            await self.timer.sleep(LOST_HOSTS_INTERVAL_S)
+            await self.timer.sleep(fleet_const.STOPPED_CHECK_INTERVAL_S)
             if self.coordinator.plan.is_watcher:
-                await self.enrolment.remove_lost_hosts()
+                await self.enrolment.remove_stopped_hosts()
 
     async def run_forever(
         self, run: Callable[[], Awaitable[None]], *, name: str
--- a/tests/components/fleet/test_enrolment.py
+++ b/tests/components/fleet/test_enrolment.py
@@ -45,6 +45,8 @@
         self.writable = writable
         self.hosts = ["h0", "h1"]
         self.calls: list[str] = []
+        # Removals that get no answer.
+        self.unanswered_removals = 0
 
     def listing(self) -> model.Listing:
         """Return the entries of the hosts."""
@@ -91,6 +93,9 @@
         """Accept the removal."""
         del kind
         self.calls.append(f"delete {name} {revision}")
+        if self.unanswered_removals:
+            self.unanswered_removals -= 1
+            return UNAVAILABLE
         return Success(None)
 
 
@@ -213,13 +218,77 @@
     setup.view.replace_all(setup.feed.listing(), grace_s=0.0)
     record = setup.roster.records["h1"]
     record.absent = True
-    asyncio.run(setup.enrolment.remove_lost_hosts())
+    asyncio.run(setup.enrolment.remove_stopped_hosts())
     setup.timer.now_s += const.LOST_AFTER_S + 1
     assert setup.feed.calls == []
-    asyncio.run(setup.enrolment.remove_lost_hosts())
+    asyncio.run(setup.enrolment.remove_stopped_hosts())
     assert setup.feed.calls == ["delete h1 1"]
 
 
+def receive_leaving(setup: Setup, *, host: str) -> None:
+    """Let a host announce that it stops."""
+    setup.roster.receive(
+        fleet_roster.Notice(const.LEAVING, host, "i1"),
+        now=setup.timer.now_s,
+    )
+
+
+def test_entry_that_a_stopped_host_could_not_remove_is_removed() -> None:
+    """Guard against a host that is in use again after a restart of all.
+
+    Seen in review/4: it left while the store was silent.
+    """
+    setup = Setup(HostFeed())
+    setup.view.replace_all(setup.feed.listing(), grace_s=0.0)
+    receive_leaving(setup, host="h1")
+    asyncio.run(setup.enrolment.remove_stopped_hosts())
+    assert setup.feed.calls == []
+    setup.timer.now_s += const.LEFT_AFTER_S + 0.1
+    setup.feed.unanswered_removals = 1
+    for _ in range(2):
+        asyncio.run(setup.enrolment.remove_stopped_hosts())
+    assert setup.feed.calls == ["delete h1 1"] * 2
+
+
+def test_entry_of_a_host_that_has_started_again_stays() -> None:
+    """Guard against removing a host that is just starting."""
+    setup = Setup(HostFeed())
+    setup.view.replace_all(setup.feed.listing(), grace_s=0.0)
+    receive_leaving(setup, host="h1")
+    setup.timer.now_s += const.LEFT_AFTER_S + 0.1
+    value = make_host("h1")._replace(incarnation="i2")
+    setup.view.apply(
+        (model.StoredObject("h1", 5, host_entries.encode(value)),),
+        after=1,
+        revision=5,
+        grace_s=0.0,
+    )
+    asyncio.run(setup.enrolment.remove_stopped_hosts())
+    assert setup.feed.calls == []
+
+
+def test_stopping_host_removes_its_entry_when_the_store_is_back() -> None:
+    """Guard against an entry that stays since one call got no answer."""
+    setup = Setup(HostFeed())
+    setup.feed.unanswered_removals = 3
+    asyncio.run(setup.enrolment.deregister())
+    assert setup.feed.calls == ["delete h0 None"] * 4
+
+
+def test_registration_that_arrives_late_does_not_bring_a_host_back() -> None:
+    """Guard against a host that left and whose last write came later."""
+    setup = Setup(HostFeed())
+    setup.view.replace_all(setup.feed.listing(), grace_s=0.0)
+    receive_leaving(setup, host="h1")
+    setup.view.apply((feed.Removal("h1"),), after=1, revision=3, grace_s=0.0)
+    late = model.StoredObject("h1", 4, host_entries.encode(make_host("h1")))
+    setup.view.apply((late,), after=3, revision=4, grace_s=0.0)
+    assert setup.roster.serving() == []
+    setup.timer.now_s += const.LEFT_AFTER_S + 0.1
+    asyncio.run(setup.enrolment.remove_stopped_hosts())
+    assert setup.feed.calls == ["delete h1 4"]
+
+
 def test_malformed_host_objects_are_ignored() -> None:
     """Guard against one entry that keeps notices from all other hosts."""
 
