Limit the memory of the requests of all connections together

Cause: each body was limited, but not all of them together, and each was held up to three times: as parts, joined, and joined with its head for the server. Callers that send small chunks reach the same with fewer bytes.

Change: requests may take a quarter of the process's memory. What arrives counts with the memory that it takes, complete requests until they have been answered. Beyond it, the largest request that is still arriving is answered 503 with Retry-After. Long bodies are written without a copy. The class that limits answers serves both.

The new tests use the new interface and could not run before.

--- a/src/samphirelug/components/http/const.py
+++ b/src/samphirelug/components/http/const.py
@@ -10,6 +10,13 @@
 # Limit of all answers that are being received at the same time. The smallest
 # hosts have 200 MB, of which the process itself uses about 70 MB.
 MAX_HELD_ANSWER_BYTES = 64 * 1024 * 1024
+# Share of a process's memory that requests may take, on all connections
+# together. Completing one takes twice its size for a moment.
+HELD_REQUESTS_SHARE = 0.25
+# Delay after which a caller may send a request again that had no room.
+NO_ROOM_RETRY_AFTER_S = 0.5
+# A longer body is written apart from its head, as joining them would copy it.
+MAX_JOINED_BODY_BYTES = 65536
 # Limit of heads, trailers and framing in one exchange. Servers send heads of
 # at most a few kilobytes.
 MAX_FRAMING_BYTES = 64 * 1024
--- a/src/samphirelug/components/http/io_connection.py
+++ b/src/samphirelug/components/http/io_connection.py
@@ -1,5 +1,6 @@
-"""Hold a connection to a backend server."""
+"""Hold connections to backend servers, and write messages."""
 
+import asyncio
 import contextlib
 import socket
 import struct
@@ -13,6 +14,22 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
+def write(
+    stream: iostream.IOStream, *, head: bytes, body: bytes
+) -> "asyncio.Future[None]":
+    """Write a message without a copy of a long body."""
+    if len(body) <= const.MAX_JOINED_BODY_BYTES:
+        return stream.write(head + body)
+    stream.write(head).add_done_callback(suppress_write_error)
+    return stream.write(body)
+
+
+def suppress_write_error(written: "asyncio.Future[None]") -> None:
+    """Ignore the error of a write, as the next read or write reports it."""
+    with contextlib.suppress(asyncio.CancelledError):
+        written.exception()
+
+
 class ServerConnection:
     """Hold a connection to one incarnation of a server."""
 
--- a/src/samphirelug/components/http/io_pipeline.py
+++ b/src/samphirelug/components/http/io_pipeline.py
@@ -5,6 +5,7 @@
 import collections
 from collections.abc import Callable
 import contextlib
+import functools
 import http.client
 import logging
 import socket
@@ -14,6 +15,8 @@
 from tornado import tcpserver
 
 from samphirelug.components.http import const
+from samphirelug.components.http import held_memory
+from samphirelug.components.http import io_connection
 from samphirelug.components.http import model
 from samphirelug.components.http import request_parser
 from samphirelug.components.routing import model as routing_model
@@ -70,7 +73,9 @@
         self.stream = stream
         self.listener = listener
         self.parser = request_parser.RequestParser(
-            limits=listener.limits, timer=listener.timer
+            limits=listener.limits,
+            timer=listener.timer,
+            on_rejected=self._refuse_without_room,
         )
         self.pending: collections.deque[PendingRequest] = collections.deque()
         # Set when there may be a response to write.
@@ -92,6 +97,7 @@
             _LOGGER.debug("caller closed the connection")
         finally:
             writer.cancel()
+            self.listener.memory.release(self.parser)
             self._discard_pending()
             self.close()
 
@@ -104,7 +110,7 @@
         while True:
             await self.can_read.wait()
             data = await self._read()
-            if self.closing:
+            if self.closing or self.error_status is not None:
                 # Discard the data. Closing the socket with unread data would
                 # reset the connection, and the caller could lose the last
                 # response.
@@ -119,13 +125,12 @@
             for message, keep_alive in self.parser.completed:
                 self._enqueue(message, keep_alive)
             self.parser.completed.clear()
+            self.listener.memory.update(self.parser)
             self._send_continue()
             if self.error_status is not None:
+                self.parser.discard()
+                self.listener.memory.release(self.parser)
                 self.writer_wakeup.set()
-                # Discard further data; raises when the caller disconnects.
-                while True:
-                    await self._read()
-                    await self._let_others_run()
 
     async def _read(self) -> bytes:
         data: bytes = await self.stream.read_bytes(
@@ -133,6 +138,11 @@
         )
         return data
 
+    def _refuse_without_room(self, reason: held_memory.Reason) -> None:
+        _LOGGER.warning("no room for a request", extra={"detail": reason})
+        self.error_status = 503
+        self.writer_wakeup.set()
+
     def _send_continue(self) -> None:
         """Let the caller send a body, once earlier responses are written."""
         if self.parser.expects_continue and not self.pending:
@@ -153,6 +163,7 @@
         if self.closing:
             return
         pending = PendingRequest(message=message, keep_alive=keep_alive)
+        self.listener.memory.hold(len(message.body))
         self.pending.append(pending)
         self._start_runnable()
         if len(self.pending) >= const.MAX_PIPELINED:
@@ -171,9 +182,20 @@
             pending.task = asyncio.ensure_future(
                 handler.handle(pending.message)
             )
+            pending.task.add_done_callback(
+                functools.partial(
+                    self._count_ended, size=len(pending.message.body)
+                )
+            )
             if not pending.keep_alive:
                 break
 
+    def _count_ended(
+        self, task: "asyncio.Task[model.Response]", *, size: int
+    ) -> None:
+        del task
+        self.listener.memory.drop(size)
+
     async def _write_responses(self) -> None:
         try:
             await self._write_in_order()
@@ -234,7 +256,9 @@
         if close:
             lines.append("Connection: close")
         head = "\r\n".join(lines) + "\r\n\r\n"
-        await self.stream.write(head.encode("latin-1") + response.body)
+        await io_connection.write(
+            self.stream, head=head.encode("latin-1"), body=response.body
+        )
 
     def _linger(self) -> None:
         """Shut down sending; close after LINGER_S unless the caller does."""
@@ -254,6 +278,7 @@
         for pending in self.pending:
             task = pending.task
             if task is None:
+                self.listener.memory.drop(len(pending.message.body))
                 continue
             if handler.cancel_on_disconnect(pending.message):
                 task.cancel()
@@ -304,8 +329,11 @@
         handler: RequestHandler,
         limits: Callable[[], routing_model.CallerLimits],
         timer: timer_helper.TimerService,
+        memory: held_memory.HeldMemory,
     ) -> None:
         super().__init__(max_buffer_size=2 * const.DEFAULT_BODY_BYTES)
+        # The memory of the requests of all connections.
+        self.memory = memory
         self.handler = handler
         self.limits = limits
         self.timer = timer
@@ -388,4 +416,7 @@
 
 def _error_response(status: int) -> model.Response:
     reason = http.client.responses.get(status, "Error")
-    return model.Response(status, reason, (), b"")
+    headers: tuple[tuple[str, str], ...] = ()
+    if status == 503:
+        headers = (("Retry-After", str(const.NO_ROOM_RETRY_AFTER_S)),)
+    return model.Response(status, reason, headers, b"")
--- a/src/samphirelug/components/http/io_pool.py
+++ b/src/samphirelug/components/http/io_pool.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-import contextlib
 import logging
 import re
 import socket
@@ -16,8 +15,8 @@
 from samphirelug.components.backend import model as backend_model
 from samphirelug.components.fleet import model as fleet_model
 from samphirelug.components.forwarding import model
-from samphirelug.components.http import answer_memory
 from samphirelug.components.http import const
+from samphirelug.components.http import held_memory
 from samphirelug.components.http import io_connection
 from samphirelug.components.http import model as http_model
 from samphirelug.components.http import response_parser
@@ -59,7 +58,7 @@
         self.idle_connections: dict[
             tuple[str, int], list[io_connection.ServerConnection]
         ] = {}
-        self.memory = answer_memory.AnswerMemory(
+        self.memory = held_memory.HeldMemory(
             limit_bytes=const.MAX_HELD_ANSWER_BYTES
         )
         # Set anew for the server, except Expect, which the listener handles.
@@ -196,15 +195,17 @@
                 "the deadline passed before sending",
             )
         try:
-            written = connection.stream.write(
-                self._render(attempt, remaining_s)
+            written = io_connection.write(
+                connection.stream,
+                head=self._render_head(attempt, remaining_s),
+                body=attempt.request.body,
             )
         except iostream.StreamClosedError:
             return _failure(
                 backend_model.FailureKind.NOT_SENT,
                 "the connection closed before sending",
             )
-        written.add_done_callback(_suppress_write_error)
+        written.add_done_callback(io_connection.suppress_write_error)
         connection.last_request_id = attempt.request.request_id
         connection.request_count += 1
         parser = response_parser.ResponseParser(
@@ -318,7 +319,8 @@
                     raise
             else:
                 parser.feed(data)
-                self.memory.update(parser)
+                if not parser.too_large:
+                    self.memory.update(parser)
                 if not parser.completed:
                     # A read returns at once while bytes are waiting. A server
                     # that sends without pause would block the event loop.
@@ -385,7 +387,9 @@
             model.AttemptAnswer(answer, report, cold_s, retry_after_s)
         )
 
-    def _render(self, attempt: model.Attempt, remaining_s: float) -> bytes:
+    def _render_head(
+        self, attempt: model.Attempt, remaining_s: float
+    ) -> bytes:
         request = attempt.request
         lines = [f"{request.method} {request.target} HTTP/1.1"]
         lines += [
@@ -403,7 +407,7 @@
         if request.body or request.method in BODY_METHODS:
             lines.append(f"Content-Length: {len(request.body)}")
         head = "\r\n".join(lines) + "\r\n\r\n"
-        return head.encode("latin-1") + request.body
+        return head.encode("latin-1")
 
     def _release(
         self,
@@ -491,9 +495,3 @@
 def _describe_error(error: BaseException) -> str:
     cause = getattr(error, "real_error", None) or error
     return str(cause) or type(cause).__name__
-
-
-def _suppress_write_error(written: "asyncio.Future[None]") -> None:
-    # The read from the connection reports the error.
-    with contextlib.suppress(asyncio.CancelledError):
-        written.exception()
--- a/src/samphirelug/components/http/request_parser.py
+++ b/src/samphirelug/components/http/request_parser.py
@@ -7,6 +7,7 @@
 
 from samphirelug.components.http import body_buffer
 from samphirelug.components.http import const
+from samphirelug.components.http import held_memory
 from samphirelug.components.routing import model as routing_model
 from samphirelug.helpers import timer as timer_helper
 
@@ -36,7 +37,7 @@
         self.status = status
 
 
-class RequestParser:
+class RequestParser(held_memory.Receiver):
     """Collect the complete requests of one connection, in order."""
 
     def __init__(
@@ -44,9 +45,12 @@
         *,
         limits: Callable[[], routing_model.CallerLimits],
         timer: timer_helper.TimerService,
+        on_rejected: Callable[[held_memory.Reason], None],
     ) -> None:
         self.limits = limits
         self.timer = timer
+        # Called when the request that is being received has no room.
+        self.on_rejected = on_rejected
         self.parser = httptools.HttpRequestParser(self)
         # Each request with whether the connection stays open after the
         # response.
@@ -59,6 +63,20 @@
         self.framing_bytes = 0
         self._reset()
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes of memory that the incomplete request takes."""
+        return self.field_bytes + self.buffer.held_bytes
+
+    def reject(self, reason: held_memory.Reason) -> None:
+        """Discard the request, which has not run."""
+        self.discard()
+        self.on_rejected(reason)
+
+    def discard(self) -> None:
+        """Free the memory of a request that will not be complete."""
+        self._reset()
+
     def feed(self, data: bytes) -> None:
         """Parse received bytes; raise RequestError to reject a request."""
         self.framing_bytes += len(data)
@@ -91,6 +109,8 @@
         self.target = b""
         self.headers: list[tuple[str, str]] = []
         self.header_bytes = 0
+        # Bytes of memory that the header fields take.
+        self.field_bytes = 0
         self.buffer = body_buffer.BodyBuffer()
         self.body_bytes = 0
 
@@ -109,7 +129,9 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header field."""
         self._count_header_bytes(len(name) + len(value) + 4)
-        self.headers.append((name.decode("latin-1"), value.decode("latin-1")))
+        field = (name.decode("latin-1"), value.decode("latin-1"))
+        self.headers.append(field)
+        self.field_bytes += body_buffer.field_size(field)
 
     def on_headers_complete(self) -> None:
         """Record whether the caller waits for "100 Continue"."""
@@ -138,7 +160,7 @@
             received_at_s=self.timer.monotonic(),
         )
         keep_alive = bool(self.parser.should_keep_alive())
-        self.buffer = body_buffer.BodyBuffer()
+        self._reset()
         self.completed.append((message, keep_alive))
         self.expects_continue = False
         self.started_at_s = None
--- a/src/samphirelug/components/http/response_parser.py
+++ b/src/samphirelug/components/http/response_parser.py
@@ -6,6 +6,7 @@
 
 from samphirelug.components.http import body_buffer
 from samphirelug.components.http import const
+from samphirelug.components.http import held_memory
 
 # Responses with a lower status are interim; the final response follows.
 FIRST_FINAL_STATUS = 200
@@ -55,7 +56,7 @@
         )
 
 
-class ResponseParser:
+class ResponseParser(held_memory.Receiver):
     """Collect the responses of a connection, in order.
 
     A server may send answers to earlier requests before the expected one, and
--- a/src/samphirelug/forwarding_host.py
+++ b/src/samphirelug/forwarding_host.py
@@ -28,7 +28,9 @@
 from samphirelug.components.forwarding import forwarder
 from samphirelug.components.forwarding import request_log
 from samphirelug.components.forwarding import retry_window
+from samphirelug.components.http import const as http_const
 from samphirelug.components.http import handler
+from samphirelug.components.http import held_memory
 from samphirelug.components.http import io_pipeline
 from samphirelug.components.http import io_pool
 from samphirelug.components.http import model as http_model
@@ -185,6 +187,12 @@
             ),
             limits=self._caller_limits,
             timer=timer,
+            memory=held_memory.HeldMemory(
+                limit_bytes=int(
+                    http_const.HELD_REQUESTS_SHARE
+                    * settings.resources.memory_bytes
+                )
+            ),
         )
         self.roster.evacuations = fleet_evacuations.EvacuationExchange(
             view=self.views[store_feed.ObjectKind.EVACUATIONS],
--- a/src/samphirelug/forwarding_settings.py
+++ b/src/samphirelug/forwarding_settings.py
@@ -29,11 +29,13 @@
 
 
 class HostResources(NamedTuple):
-    """Represent the processor and network capacity of the host."""
+    """Represent the capacity of the host that this process may use."""
 
     # Processor cores, of the speed at which the host's times were measured.
     cores: float
     link_mbps: float
+    # The platform ends a process that takes more.
+    memory_bytes: int
 
 
 # Settings that take effect while the host runs; the others do so at its next
--- a/standins/forwarding.py
+++ b/standins/forwarding.py
@@ -25,6 +25,8 @@
     header_timeout_s=1.0,
     idle_timeout_s=5.0,
 )
+# Memory that the requests of all connections may take.
+MEMORY_BYTES = 64 * 1024 * 1024
 
 
 def route(
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -74,6 +74,7 @@
                 "CpuShare": 1.0,
                 "CpuCores": 1,
                 "BandwidthMbps": 1000.0,
+                "MemoryMb": 300,
             },
             "Platform": {"Address": store_address},
         }
--- a/tests/components/http/test_body_buffer.py
+++ b/tests/components/http/test_body_buffer.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from samphirelug.components.http import answer_memory
 from samphirelug.components.http import body_buffer
+from samphirelug.components.http import held_memory
 from samphirelug.components.http import request_parser
 from samphirelug.components.http import response_parser
 from samphirelug.helpers import timer as timer_helper
@@ -64,7 +64,7 @@
     size: int,
 ) -> None:
     """Guard against many endless bodies that pass the limit unnoticed."""
-    memory = answer_memory.AnswerMemory(limit_bytes=LIMIT_BYTES)
+    memory = held_memory.HeldMemory(limit_bytes=LIMIT_BYTES)
     parsers = [response_parser.ResponseParser(is_head=False) for _ in range(8)]
     block = chunks(size, count=8192 // size)
     for parser in parsers:
@@ -87,7 +87,9 @@
     """Guard against a host that dies of what a caller sends in chunks."""
     limits = build.LIMITS._replace(max_body_bytes=BODY_BYTES)
     parser = request_parser.RequestParser(
-        limits=lambda: limits, timer=timer_helper.ManualTimerService()
+        limits=lambda: limits,
+        timer=timer_helper.ManualTimerService(),
+        on_rejected=lambda _: None,
     )
     parser.feed(REQUEST_HEAD)
     before, _ = tracemalloc.get_traced_memory()
--- a/tests/components/http/test_endless_requests.py
+++ b/tests/components/http/test_endless_requests.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from samphirelug.components.http import held_memory
 from samphirelug.components.http import io_pipeline
 from samphirelug.components.http import model
 from samphirelug.components.http import request_parser
@@ -80,7 +81,10 @@
     """Return the caller and how long it held up the event loop at most."""
     timer = timer_helper.LoopTimerService()
     listener = io_pipeline.CallerListener(
-        handler=UnusedHandler(), limits=lambda: build.LIMITS, timer=timer
+        handler=UnusedHandler(),
+        limits=lambda: build.LIMITS,
+        timer=timer,
+        memory=held_memory.HeldMemory(limit_bytes=build.MEMORY_BYTES),
     )
     listener.start_listening(host="127.0.0.1", port=0)
     caller = EndlessCaller(
--- a/tests/components/http/test_answer_memory.py
+++ b/tests/components/http/test_held_memory.py
@@ -1,6 +1,6 @@
 """Test the limit of all answers that are being received."""
 
-from samphirelug.components.http import answer_memory
+from samphirelug.components.http import held_memory
 from samphirelug.components.http import response_parser
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n"
@@ -18,7 +18,7 @@
 
 def test_endless_answers_together_leave_memory_to_the_others() -> None:
     """Guard against a host that runs out of memory with many bad servers."""
-    memory = answer_memory.AnswerMemory(limit_bytes=LIMIT_BYTES)
+    memory = held_memory.HeldMemory(limit_bytes=LIMIT_BYTES)
     small = response_parser.ResponseParser(is_head=False)
     small.feed(SMALL + b"o")
     memory.update(small)
@@ -39,7 +39,7 @@
 
 def test_ended_answers_are_not_counted() -> None:
     """Guard against a limit that shrinks with each answer."""
-    memory = answer_memory.AnswerMemory(limit_bytes=LIMIT_BYTES)
+    memory = held_memory.HeldMemory(limit_bytes=LIMIT_BYTES)
     for _ in range(100):
         parser = response_parser.ResponseParser(is_head=False)
         parser.feed(HEAD + BLOCK)
--- /dev/null
+++ b/tests/components/http/test_request_memory.py
@@ -0,0 +1,168 @@
+"""Test the memory of requests that arrive at the same time."""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+import pytest
+
+from samphirelug.components.http import held_memory
+from samphirelug.components.http import io_pipeline
+from samphirelug.components.http import model
+from samphirelug.components.http import request_parser
+from samphirelug.helpers import timer as timer_helper
+from standins import forwarding as build
+
+LIMIT_BYTES = 1_000_000
+BODY_BYTES = 400_000
+STEP_BYTES = 20_000
+LIMITS = build.LIMITS._replace(
+    max_body_bytes=BODY_BYTES, header_timeout_s=30.0
+)
+POLL_INTERVAL_S = 0.005
+MAX_POLLS = 2000
+
+
+class SlowHandler(io_pipeline.RequestHandler):
+    """Answer each request when told to, with the length of its body."""
+
+    def __init__(self) -> None:
+        self.may_answer = asyncio.Event()
+        self.started_count = 0
+
+    def may_run_concurrently(
+        self, message: request_parser.CallerMessage
+    ) -> bool:
+        """Return that requests may not run concurrently."""
+        del message
+        return False
+
+    def cancel_on_disconnect(
+        self, message: request_parser.CallerMessage
+    ) -> bool:
+        """Return that requests are not cancelled."""
+        del message
+        return False
+
+    async def handle(
+        self, message: request_parser.CallerMessage
+    ) -> model.Response:
+        """Return the length of the body."""
+        self.started_count += 1
+        await self.may_answer.wait()
+        return model.Response(200, "OK", (), b"%d" % len(message.body))
+
+
+class Upload(NamedTuple):
+    """Hold a connection that sends a request with a long body."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+
+async def wait_until(condition: Callable[[], bool]) -> None:
+    """Return when a condition holds."""
+    for _ in range(MAX_POLLS):
+        if condition():
+            return
+        await asyncio.sleep(POLL_INTERVAL_S)
+    raise AssertionError("the condition does not hold in time")
+
+
+async def begin_upload(port: int, *, framing: bytes) -> Upload:
+    """Send the head of a request."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(b"POST / HTTP/1.1\r\nHost: x\r\n" + framing + b"\r\n\r\n")
+    return Upload(reader, writer)
+
+
+def encode(size: int, *, chunk_size: int) -> bytes:
+    """Return a part of a body; 0 means that it is not in chunks."""
+    if not chunk_size:
+        return b"a" * size
+    chunk = b"%x\r\n" % chunk_size + b"a" * chunk_size + b"\r\n"
+    return chunk * (size // chunk_size)
+
+
+@pytest.mark.parametrize("chunk_size", [0, 1, 4, 5000])
+def test_long_bodies_of_many_callers_leave_memory_to_the_others(
+    chunk_size: int,
+) -> None:
+    """Guard against a host that dies of bodies that are each allowed."""
+
+    async def main() -> list[bytes]:
+        handler = SlowHandler()
+        memory = held_memory.HeldMemory(limit_bytes=LIMIT_BYTES)
+        listener = io_pipeline.CallerListener(
+            handler=handler,
+            limits=lambda: LIMITS,
+            timer=timer_helper.LoopTimerService(),
+            memory=memory,
+        )
+        listener.start_listening(host="127.0.0.1", port=0)
+        framing = (
+            b"Transfer-Encoding: chunked"
+            if chunk_size
+            else b"Content-Length: %d" % BODY_BYTES
+        )
+        uploads = [
+            await begin_upload(listener.port, framing=framing)
+            for _ in range(5)
+        ]
+        part = encode(STEP_BYTES, chunk_size=chunk_size)
+        for _ in range(BODY_BYTES // STEP_BYTES):
+            for upload in uploads:
+                upload.writer.write(part)
+            await asyncio.sleep(0.005)
+            assert memory.total_bytes <= LIMIT_BYTES
+        small = await begin_upload(listener.port, framing=b"Content-Length: 2")
+        small.writer.write(b"ok")
+        for upload in uploads if chunk_size else ():
+            upload.writer.write(b"0\r\n\r\n")
+        await wait_until(lambda: handler.started_count == 3)
+        # Complete requests are counted until they have been answered.
+        assert memory.total_bytes >= 2 * BODY_BYTES
+        handler.may_answer.set()
+        answers = [
+            await asyncio.wait_for(upload.reader.readuntil(b"\r\n\r\n"), 5)
+            for upload in [*uploads, small]
+        ]
+        for upload in [*uploads, small]:
+            upload.writer.close()
+        listener.stop()
+        await wait_until(lambda: not listener.connections)
+        assert memory.total_bytes == 0
+        return answers
+
+    *answers, small = asyncio.run(asyncio.wait_for(main(), 30))
+    assert small.startswith(b"HTTP/1.1 200 ")
+    served = [head for head in answers if head.startswith(b"HTTP/1.1 200 ")]
+    refused = [head for head in answers if head.startswith(b"HTTP/1.1 503 ")]
+    assert len(served) == 2
+    assert len(refused) == 3
+    assert all(b"Retry-After: 0.5\r\n" in head for head in refused)
+
+
+def test_request_without_end_gives_its_memory_back() -> None:
+    """Guard against a limit that shrinks with each caller that leaves."""
+
+    async def main() -> None:
+        memory = held_memory.HeldMemory(limit_bytes=LIMIT_BYTES)
+        listener = io_pipeline.CallerListener(
+            handler=SlowHandler(),
+            limits=lambda: LIMITS,
+            timer=timer_helper.LoopTimerService(),
+            memory=memory,
+        )
+        listener.start_listening(host="127.0.0.1", port=0)
+        for _ in range(20):
+            upload = await begin_upload(
+                listener.port, framing=b"Content-Length: 300000"
+            )
+            upload.writer.write(b"a" * 100_000)
+            await wait_until(lambda: memory.total_bytes >= 100_000)
+            upload.writer.close()
+            await wait_until(lambda: not memory.total_bytes)
+        listener.stop()
+
+    asyncio.run(asyncio.wait_for(main(), 30))
--- a/tests/platform_adapter/test_settings.py
+++ b/tests/platform_adapter/test_settings.py
@@ -23,7 +23,12 @@
         "Directory": "127.0.0.1:8143",
     },
     "PortRange": [7660, 7675],
-    "Limits": {"CpuShare": 0.5, "CpuCores": 2, "BandwidthMbps": 5.0},
+    "Limits": {
+        "CpuShare": 0.5,
+        "CpuCores": 2,
+        "BandwidthMbps": 5.0,
+        "MemoryMb": 300,
+    },
     "Bounds": {
         "Drain": "2500ms",
         "Grace": "6s",
@@ -46,7 +51,7 @@
     path.write_bytes(orjson.dumps(SETTINGS))
     host_settings = settings.read(path).unwrap()
     assert host_settings.drain_s == 2.5
-    assert host_settings.resources == (1.0, 5.0)
+    assert host_settings.resources == (1.0, 5.0, 300_000_000)
     assert host_settings.store_url == "http://127.0.0.1:8142"
 
 
