Notice a lost answer to a watch of the desired state within its bound

Cause: a watch whose answer is lost was given up after 15 s of waiting and 2 s of patience, since nothing shows that it is dead while other calls are answered. The watch after it was as long: the answers to other watches had ended the outage.

--- a/src/samphirelug/components/store/follower.py
+++ b/src/samphirelug/components/store/follower.py
@@ -64,6 +64,9 @@
         # answer.
         self.confirm_interval_s = confirm_interval_s
         self.backoff_s = INITIAL_BACKOFF_S
+        # Whether the last call got no answer. It may have been the answer to
+        # this call alone that was lost, together with changes.
+        self.failed = False
 
     @property
     def revision(self) -> int:
@@ -148,9 +151,10 @@
         """Return how long the next watch waits.
 
         During an outage a long watch without changes would delay the
-        discovery that the store is available again.
+        discovery that the store is available again, and after a lost answer
+        that the next one is lost too.
         """
-        if self.availability.lost_at_s is not None:
+        if self.failed or self.availability.lost_at_s is not None:
             return PROBE_WATCH_TIMEOUT_S
         interval_s = self.confirm_interval_s()
         due_at_s = self.availability.confirmed_at_s + interval_s
@@ -181,6 +185,7 @@
             regained_task.cancel()
 
     async def _handle_failure(self, detail: str) -> None:
+        self.failed = True
         self.availability.record_failure(self, detail=detail)
         if self.availability.is_prober(self):
             await self._back_off()
@@ -193,4 +198,5 @@
 
     def _handle_success(self) -> None:
         self.backoff_s = INITIAL_BACKOFF_S
+        self.failed = False
         self.availability.record_success()
--- a/tests/components/store/test_follower.py
+++ b/tests/components/store/test_follower.py
@@ -342,6 +342,52 @@
     assert asyncio.run(main()) == [long, short, long, long]
 
 
+def test_watch_after_a_lost_answer_has_a_short_timeout() -> None:
+    """Guard against a second lost answer that is noticed after seconds.
+
+    Other followers may have ended the outage meanwhile.
+    """
+
+    class RegainingTimer(InstantTimer):
+        """Let the store answer a call for another kind during a delay."""
+
+        async def sleep(self, delay_s: float) -> None:
+            """End the outage."""
+            availability.record_success()
+            await super().sleep(delay_s)
+
+    timer = RegainingTimer()
+    availability = store_availability.StoreAvailability(timer=timer)
+
+    async def main() -> list[float]:
+        scripted_feed = ScriptedFeed(
+            list_result(5, "a"),
+            UNAVAILABLE,
+            UNAVAILABLE,
+            watch_result(6, "b"),
+        )
+        scripted_feed.timer = timer
+        task = asyncio.ensure_future(
+            follower.ObjectFollower(
+                feed=scripted_feed,
+                view=store_view.ObjectView(
+                    kind=feed.ObjectKind.CONFIGURATION,
+                    consumer=RecordingConsumer(),
+                ),
+                availability=availability,
+                timer=timer,
+                rng=random.Random(1),
+            ).run()
+        )
+        await asyncio.wait_for(scripted_feed.script_ended.wait(), 5)
+        task.cancel()
+        return scripted_feed.watch_timeouts_s
+
+    first, second, third, fourth = asyncio.run(main())
+    assert first == fourth == follower.WATCH_TIMEOUT_S
+    assert second == third == follower.PROBE_WATCH_TIMEOUT_S
+
+
 def test_follower_pauses_after_changes() -> None:
     """Guard against a call for each of many changes in quick succession."""
 
--- a/tests/test_forwarding_host.py
+++ b/tests/test_forwarding_host.py
@@ -14,6 +14,8 @@
 from samphirelug.components.metrics import forwarding as forwarding_metrics
 from samphirelug.components.routing import model as routing_model
 from samphirelug.components.store import feed
+from samphirelug.components.store import follower
+from samphirelug.components.store import io_transport
 from samphirelug.components.store import model as store_model
 from samphirelug import core
 from samphirelug import forwarding_host
@@ -339,3 +341,20 @@
         run_until_late_request(SlowServer(), late_s=1.2, path=b"/other/")
     )
     assert received.startswith(b"HTTP/1.1 404 ")
+
+
+@pytest.mark.parametrize("kind", [Kind.CONFIGURATION, Kind.EVACUATIONS])
+def test_lost_answer_to_a_watch_is_noticed_within_the_bounds(
+    kind: Kind,
+) -> None:
+    """Guard against hosts that keep an old desired state for 15 s.
+
+    Seen in review/3: the store lost the answers to two watches and answered
+    all other calls.
+    """
+    host = make_host(OpenFeed())
+    interval_s = host.store_followers[kind].confirm_interval_s()
+    overdue_s = interval_s + io_transport.REQUEST_TIMEOUT_S
+    retry_s = follower.INITIAL_BACKOFF_S + follower.PROBE_WATCH_TIMEOUT_S
+    # ConfigApply, stretched by MaxSkew while the store loses answers.
+    assert overdue_s + retry_s < 2.5 + 5.0
