Start silences anew for each check after a suspension

Cause, found by reading: a host that was suspended with unanswered questions could report those hosts as absent, as its repeated checks run before the next tick, and only the tick noticed the suspension.

--- a/src/samphirelug/components/fleet/const.py
+++ b/src/samphirelug/components/fleet/const.py
@@ -29,7 +29,7 @@
 ASK_INTERVAL_S = 0.3
 # Number of hosts that one host asks at the same time.
 MAX_ASKED_HOSTS = 8
-# A longer gap between two ticks means that this process was suspended. The
+# A longer gap between two checks means that this process was suspended. The
 # event loop of a healthy process is never delayed this long.
 SUSPENDED_AFTER_S = 1.5
 # Notices other than BEAT, ASK and answers to it are sent a second time after
--- a/src/samphirelug/components/fleet/roster.py
+++ b/src/samphirelug/components/fleet/roster.py
@@ -15,6 +15,7 @@
 
 from samphirelug.components.fleet import const
 from samphirelug.components.fleet import evacuations as fleet_evacuations
+from samphirelug.components.fleet import host_record
 from samphirelug.components.fleet import model
 from samphirelug.components.fleet import ring
 
@@ -43,41 +44,13 @@
     evacuations: model.Evacuations | None = None
 
 
-class HostRecord:
-    """Hold the observed state of another entry host."""
-
-    def __init__(self, *, host: model.HostInstance, now: float) -> None:
-        self.host = host
-        self.heard_at_s = now
-        self.absent = False
-        self.leaving = False
-        # Time at which it announced that it stops; None if it did not.
-        self.left_at_s: float | None = None
-        # Whether this process is a monitor of the host: it gets its beats.
-        self.monitored = False
-        # Whether this process has reported it as absent.
-        self.silent = False
-        # Whether any notice of the host has been received.
-        self.heard = False
-        # Number of times to ask the host, since others call it absent.
-        self.ask_count = 0
-        # Time at which it was last asked while it was absent.
-        self.checked_at_s = float("-inf")
-        # Time at which its entry was removed; None while it has one.
-        self.unlisted_at_s: float | None = None
-
-    def was_heard_lately(self, now: float) -> bool:
-        """Return whether the host certainly ran a moment ago."""
-        return self.heard and now - self.heard_at_s < const.ASK_AFTER_S
-
-
 class HostRoster:
     """Track the states of the entry hosts and return notices to send."""
 
     def __init__(self, *, own: model.HostInstance) -> None:
         self.own = own
-        self.records: dict[str, HostRecord] = {}
-        self.last_tick_at_s: float | None = None
+        self.records: dict[str, host_record.HostRecord] = {}
+        self.last_check_at_s: float | None = None
         # Incremented whenever the hosts that serve may have changed.
         self.generation = 0
         # Whether the current entries of the hosts are known.
@@ -217,7 +190,7 @@
         ]
 
     def _add(self, host: model.HostInstance, now: float) -> None:
-        self.records[host.name] = HostRecord(host=host, now=now)
+        self.records[host.name] = host_record.HostRecord(host=host, now=now)
         self.generation += 1
         _LOGGER.info(
             "entry host added",
@@ -246,16 +219,7 @@
 
     def tick(self, *, now: float) -> list[OutgoingNotice]:
         """Return the beats and notices that are due."""
-        if (
-            self.last_tick_at_s is not None
-            and now - self.last_tick_at_s > const.SUSPENDED_AFTER_S
-        ):
-            # This process was suspended and could not receive beats, so the
-            # other hosts only appear to be silent.
-            for record in self.records.values():
-                record.heard_at_s = max(record.heard_at_s, now)
-            self.asked_at_s.clear()
-        self.last_tick_at_s = now
+        self._forgive_silence_if_suspended(now)
         self._forget_stopped(now)
         due = []
         if self.is_ready():
@@ -264,7 +228,7 @@
             due += [self._ask(record) for record in self._absent_to_ask(now)]
         return due + self.check(now=now)
 
-    def _absent_to_ask(self, now: float) -> list[HostRecord]:
+    def _absent_to_ask(self, now: float) -> list[host_record.HostRecord]:
         """Return the hosts to ask since they may be absent by mistake."""
         absent = [
             record
@@ -284,6 +248,7 @@
 
     def check(self, *, now: float) -> list[OutgoingNotice]:
         """Return questions to hosts that may not run, and absence notices."""
+        self._forgive_silence_if_suspended(now)
         silent = self._silent_records(now)
         self.asked_at_s = {
             record.host.name: self.asked_at_s.get(record.host.name, now)
@@ -299,7 +264,18 @@
             due.append(self._report_absent(record, now))
         return due
 
-    def _silent_records(self, now: float) -> list[HostRecord]:
+    def _forgive_silence_if_suspended(self, now: float) -> None:
+        """Start all silences anew if this process could not receive beats."""
+        if (
+            self.last_check_at_s is not None
+            and now - self.last_check_at_s > const.SUSPENDED_AFTER_S
+        ):
+            for record in self.records.values():
+                record.heard_at_s = max(record.heard_at_s, now)
+            self.asked_at_s.clear()
+        self.last_check_at_s = now
+
+    def _silent_records(self, now: float) -> list[host_record.HostRecord]:
         """Return the hosts whose running this host has to check."""
         silent = [
             record
@@ -322,7 +298,9 @@
                 break
         return silent
 
-    def _report_absent(self, record: HostRecord, now: float) -> OutgoingNotice:
+    def _report_absent(
+        self, record: host_record.HostRecord, now: float
+    ) -> OutgoingNotice:
         """Mark a host as absent and return the notice to all hosts.
 
         It goes to that host as well, which contradicts it if it runs, and to
@@ -336,7 +314,7 @@
         )
         return OutgoingNotice(notice, tuple(self._known_hosts()))
 
-    def _ask(self, record: HostRecord) -> OutgoingNotice:
+    def _ask(self, record: host_record.HostRecord) -> OutgoingNotice:
         return OutgoingNotice(self._own_notice(const.ASK), (record.host,))
 
     def start_notice(self) -> OutgoingNotice:
@@ -400,7 +378,7 @@
         self._mark_present(record, notice)
         return answers
 
-    def _answer(self, record: HostRecord) -> list[OutgoingNotice]:
+    def _answer(self, record: host_record.HostRecord) -> list[OutgoingNotice]:
         """Return the answer to a host that asks; none while this one stops.
 
         The question of a host says nothing about whether it serves.
@@ -414,7 +392,7 @@
         return [OutgoingNotice(self._own_notice(kind), (record.host,))]
 
     def _handle_starting(
-        self, record: HostRecord, notice: Notice, now: float
+        self, record: host_record.HostRecord, notice: Notice, now: float
     ) -> list[OutgoingNotice]:
         """Wait for a host that starts; report one that served before."""
         self.asked_at_s.pop(notice.name, None)
@@ -432,7 +410,7 @@
         return Notice(kind, self.own.name, self.own.incarnation, evacuations)
 
     def _mark_absent(
-        self, record: HostRecord, reason: str, silent_s: float
+        self, record: host_record.HostRecord, reason: str, silent_s: float
     ) -> None:
         if record.absent:
             return
@@ -447,7 +425,9 @@
             },
         )
 
-    def _mark_present(self, record: HostRecord, notice: Notice) -> None:
+    def _mark_present(
+        self, record: host_record.HostRecord, notice: Notice
+    ) -> None:
         if notice.incarnation != record.host.incarnation:
             record.host = record.host._replace(incarnation=notice.incarnation)
             record.leaving = False
--- a/tests/components/fleet/test_enrolment.py
+++ b/tests/components/fleet/test_enrolment.py
@@ -237,10 +237,7 @@
 
 
 def test_entry_that_a_stopped_host_could_not_remove_is_removed() -> None:
-    """Guard against a host that is in use again after a restart of all.
-
-    Seen in review/4: it left while the store was silent.
-    """
+    """Guard against a host that is in use again after a restart of all."""
     setup = Setup(HostFeed())
     setup.view.replace_all(setup.feed.listing(), grace_s=0.0)
     receive_leaving(setup, host="h1")
--- a/tests/components/fleet/test_roster.py
+++ b/tests/components/fleet/test_roster.py
@@ -100,11 +100,7 @@
 
 @pytest.mark.parametrize("lost", range(12))
 def test_host_lost_with_its_monitors_is_detected(lost: int) -> None:
-    """Guard against look-up answers that name a host that nobody watches.
-
-    Seen in review/5: a host and its two monitors lost power at once, and the
-    monitors started again without it.
-    """
+    """Guard against look-up answers that name a host that nobody watches."""
     fleet = Fleet(12)
     fleet.run(5)
     name = f"h{lost}"
@@ -134,11 +130,7 @@
 
 
 def test_host_that_nobody_has_ever_heard_is_detected() -> None:
-    """Guard against a host of the list that was lost before all others.
-
-    Seen in variants of review/4: its entry stays in the store, and all other
-    hosts start again.
-    """
+    """Guard against listing a host that was lost before all others started."""
     fleet = Fleet(10)
     fleet.stopped.add("h4")
     fleet.run(3)
--- a/tests/test_forwarding_host.py
+++ b/tests/test_forwarding_host.py
@@ -347,11 +347,7 @@
 def test_lost_answer_to_a_watch_is_noticed_within_the_bounds(
     kind: Kind,
 ) -> None:
-    """Guard against hosts that keep an old desired state for 15 s.
-
-    Seen in review/3: the store lost the answers to two watches and answered
-    all other calls.
-    """
+    """Guard against hosts that keep an old desired state for 15 s."""
     host = make_host(OpenFeed())
     interval_s = host.store_followers[kind].confirm_interval_s()
     overdue_s = interval_s + io_transport.REQUEST_TIMEOUT_S
