--- a/src/samphirelug/forwarding_host.py
+++ b/src/samphirelug/forwarding_host.py
@@ -66,7 +66,7 @@
 FOLLOW_POLL_INTERVAL_S = 0.05
 # Longest time of a watch of what operators order: the configuration and
 # evacuations. If its answer is lost, that shows once it is overdue.
-ORDER_WATCH_TIMEOUT_S = 3.0
+ORDER_WATCH_TIMEOUT_S = 4.0
 # Interval at which the gauge samphirelug_belief is updated.
 BELIEF_INTERVAL_S = 1.0
 
