Answer hosts that ask before their entry is known

Cause, found by reading: a host that is new and cannot register, since the store is away, asks the hosts before it on the ring. They ignored a sender whose entry they did not know, so that it reported them as absent to all.

Change: the answer to a question goes to the address that it came from. test_host_without_a_known_entry_gets_answers failed before.

--- a/src/samphirelug/components/fleet/io_datagrams.py
+++ b/src/samphirelug/components/fleet/io_datagrams.py
@@ -130,6 +130,9 @@
                 )
             return
         try:
+            if notice.kind == const.ASK:
+                self._answer(addr)
+                return
             for outgoing in self.roster.receive(notice, now=now):
                 self._send(outgoing)
         except Exception:
@@ -142,6 +145,12 @@
         """
         _LOGGER.debug("datagram not delivered: %s", exc)
 
+    def _answer(self, addr: tuple[str | object, int]) -> None:
+        """Answer a host that asks, also one whose entry is not known yet."""
+        answer = self.roster.answer()
+        if answer is not None and self.transport is not None:
+            self.transport.sendto(encode(answer), addr)
+
     def check_hosts(self) -> None:
         """Ask hosts that may not run, until they answer or are absent."""
         self._send_all(self.roster.check(now=self.timer.monotonic()))
--- a/src/samphirelug/components/fleet/roster.py
+++ b/src/samphirelug/components/fleet/roster.py
@@ -219,7 +219,7 @@
 
     def tick(self, *, now: float) -> list[OutgoingNotice]:
         """Return the beats and notices that are due."""
-        self._forgive_silence_if_suspended(now)
+        self._reset_silences_after_suspension(now)
         self._forget_stopped(now)
         due = []
         if self.is_ready():
@@ -248,7 +248,7 @@
 
     def check(self, *, now: float) -> list[OutgoingNotice]:
         """Return questions to hosts that may not run, and absence notices."""
-        self._forgive_silence_if_suspended(now)
+        self._reset_silences_after_suspension(now)
         silent = self._silent_records(now)
         self.asked_at_s = {
             record.host.name: self.asked_at_s.get(record.host.name, now)
@@ -264,7 +264,7 @@
             due.append(self._report_absent(record, now))
         return due
 
-    def _forgive_silence_if_suspended(self, now: float) -> None:
+    def _reset_silences_after_suspension(self, now: float) -> None:
         """Start all silences anew if this process could not receive beats."""
         if (
             self.last_check_at_s is not None
@@ -329,8 +329,19 @@
             self._own_notice(const.LEAVING), tuple(self._known_hosts())
         )
 
+    def answer(self) -> Notice | None:
+        """Return the answer to an ASK; None while this host stops."""
+        if self.is_ready():
+            return self._own_notice(const.ALIVE)
+        if self.is_starting():
+            return self._own_notice(const.STARTING)
+        return None
+
     def receive(self, notice: Notice, *, now: float) -> list[OutgoingNotice]:
-        """Apply a received notice and return the notices to send for it."""
+        """Apply a received notice and return the notices to send for it.
+
+        An ASK says nothing about whether its sender serves: see answer().
+        """
         if notice.name == self.own.name:
             if notice.kind == const.ABSENT and self.is_ready():
                 # A monitor received no beats from this host for a while and
@@ -349,8 +360,6 @@
         if notice.kind == const.PRESENT:
             self._mark_present(record, notice)
             return []
-        if notice.kind == const.ASK:
-            return self._answer(record)
         if notice.kind == const.STARTING:
             return self._handle_starting(record, notice, now)
         self.asked_at_s.pop(notice.name, None)
@@ -378,19 +387,6 @@
         self._mark_present(record, notice)
         return answers
 
-    def _answer(self, record: host_record.HostRecord) -> list[OutgoingNotice]:
-        """Return the answer to a host that asks; none while this one stops.
-
-        The question of a host says nothing about whether it serves.
-        """
-        if self.is_ready():
-            kind = const.ALIVE
-        elif self.is_starting():
-            kind = const.STARTING
-        else:
-            return []
-        return [OutgoingNotice(self._own_notice(kind), (record.host,))]
-
     def _handle_starting(
         self, record: host_record.HostRecord, notice: Notice, now: float
     ) -> list[OutgoingNotice]:
--- a/src/samphirelug/components/http/const.py
+++ b/src/samphirelug/components/http/const.py
@@ -13,8 +13,8 @@
 # Share of a process's memory that requests may take, on all connections
 # together. Completing one takes twice its size for a moment.
 HELD_REQUESTS_SHARE = 0.25
-# Delay after which a caller may send a request again that had no room.
-NO_ROOM_RETRY_AFTER_S = 0.5
+# Delay after which a caller may repeat a request that was refused for memory.
+MEMORY_RETRY_AFTER_S = 0.5
 # A longer body is written apart from its head, as joining them would copy it.
 MAX_JOINED_BODY_BYTES = 65536
 # Limit of heads, trailers and framing in one exchange. Servers send heads of
--- a/src/samphirelug/components/http/io_pipeline.py
+++ b/src/samphirelug/components/http/io_pipeline.py
@@ -75,7 +75,7 @@
         self.parser = request_parser.RequestParser(
             limits=listener.limits,
             timer=listener.timer,
-            on_rejected=self._refuse_without_room,
+            on_rejected=self._refuse_for_memory,
         )
         self.pending: collections.deque[PendingRequest] = collections.deque()
         # Set when there may be a response to write.
@@ -138,8 +138,10 @@
         )
         return data
 
-    def _refuse_without_room(self, reason: held_memory.Reason) -> None:
-        _LOGGER.warning("no room for a request", extra={"detail": reason})
+    def _refuse_for_memory(self, reason: held_memory.Reason) -> None:
+        _LOGGER.warning(
+            "not enough memory for a request", extra={"detail": reason}
+        )
         self.error_status = 503
         self.writer_wakeup.set()
 
@@ -418,5 +420,5 @@
     reason = http.client.responses.get(status, "Error")
     headers: tuple[tuple[str, str], ...] = ()
     if status == 503:
-        headers = (("Retry-After", str(const.NO_ROOM_RETRY_AFTER_S)),)
+        headers = (("Retry-After", str(const.MEMORY_RETRY_AFTER_S)),)
     return model.Response(status, reason, headers, b"")
--- a/src/samphirelug/components/http/request_parser.py
+++ b/src/samphirelug/components/http/request_parser.py
@@ -49,7 +49,7 @@
     ) -> None:
         self.limits = limits
         self.timer = timer
-        # Called when the request that is being received has no room.
+        # Called when this request is refused, as all take too much memory.
         self.on_rejected = on_rejected
         self.parser = httptools.HttpRequestParser(self)
         # Each request with whether the connection stays open after the
--- a/src/samphirelug/forwarding_host.py
+++ b/src/samphirelug/forwarding_host.py
@@ -64,9 +64,9 @@
 # interval at which it checks for their entries.
 SEARCH_PATIENCE_S = 1.0
 FOLLOW_POLL_INTERVAL_S = 0.05
-# Longest time of a watch of what operators order: the configuration and
+# Longest time of a watch of what operators change: the configuration and
 # evacuations. If its answer is lost, that shows once it is overdue.
-ORDER_WATCH_TIMEOUT_S = 4.0
+OPERATOR_WATCH_TIMEOUT_S = 4.0
 # Interval at which the gauge samphirelug_belief is updated.
 BELIEF_INTERVAL_S = 1.0
 
@@ -359,7 +359,7 @@
             return lambda: self.coordinator.confirm_interval_s
         if kind is store_feed.ObjectKind.ENTRY_HOSTS:
             return lambda: follower.WATCH_TIMEOUT_S
-        return lambda: ORDER_WATCH_TIMEOUT_S
+        return lambda: OPERATOR_WATCH_TIMEOUT_S
 
     def _max_backoff_s(self) -> float:
         if self.coordinator.plan.is_watcher:
--- a/tests/components/fleet/test_io_datagrams.py
+++ b/tests/components/fleet/test_io_datagrams.py
@@ -99,6 +99,14 @@
     assert len(protocol.roster.serving()) == 1
 
 
+def test_host_without_a_known_entry_gets_answers() -> None:
+    """Guard against a host that takes others for lost before it is known."""
+    protocol, transport = make_protocol(is_ready=True)
+    question = fleet_roster.Notice(const.ASK, "h9", "i1")
+    protocol.datagram_received(io_datagrams.encode(question), ("127.0.0.1", 9))
+    assert transport.sent == [(const.ALIVE, 9)]
+
+
 def test_answer_ends_the_questions() -> None:
     """Guard against questions without end to a host that runs."""
     protocol, transport = make_protocol(is_ready=True)
--- a/tests/components/fleet/test_roster.py
+++ b/tests/components/fleet/test_roster.py
@@ -41,10 +41,16 @@
                 self.sent_count += 1
                 if recipient.name in self.stopped:
                     continue
-                answers = self.rosters[recipient.name].receive(
-                    notice, now=self.now
-                )
-                self.deliver(answers)
+                roster = self.rosters[recipient.name]
+                if notice.kind == const.ASK:
+                    answer = roster.answer()
+                    asker = self.rosters[notice.name].own
+                    if answer is not None:
+                        self.deliver(
+                            [fleet_roster.OutgoingNotice(answer, (asker,))]
+                        )
+                    continue
+                self.deliver(roster.receive(notice, now=self.now))
 
     def run(self, seconds: float) -> None:
         """Advance the clock; let all running hosts tick at each interval."""
