--- a/tests/components/http/test_endless_requests.py
+++ b/tests/components/http/test_endless_requests.py
@@ -14,6 +14,7 @@
 from samphirelug.components.http import request_parser
 from samphirelug.helpers import timer as timer_helper
 from standins import forwarding as build
+from tests.components.http import handlers
 
 REQUEST_LINE = b"POST /x HTTP/1.1\r\nHost: x\r\n"
 CHUNKED = REQUEST_LINE + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -26,23 +27,9 @@
 MAX_TICK_GAP_S = 0.5
 
 
-class UnusedHandler(io_pipeline.RequestHandler):
+class UnusedHandler(handlers.SequentialHandler):
     """Reject the handling of requests, none of which is complete."""
 
-    def may_run_concurrently(
-        self, message: request_parser.CallerMessage
-    ) -> bool:
-        """Return that requests may not run concurrently."""
-        del message
-        return False
-
-    def cancel_on_disconnect(
-        self, message: request_parser.CallerMessage
-    ) -> bool:
-        """Return that requests are not cancelled."""
-        del message
-        return False
-
     async def handle(
         self, message: request_parser.CallerMessage
     ) -> model.Response:
--- a/tests/components/http/test_request_memory.py
+++ b/tests/components/http/test_request_memory.py
@@ -12,6 +12,7 @@
 from samphirelug.components.http import request_parser
 from samphirelug.helpers import timer as timer_helper
 from standins import forwarding as build
+from tests.components.http import handlers
 
 LIMIT_BYTES = 1_000_000
 BODY_BYTES = 400_000
@@ -23,27 +24,13 @@
 MAX_POLLS = 2000
 
 
-class SlowHandler(io_pipeline.RequestHandler):
+class SlowHandler(handlers.SequentialHandler):
     """Answer each request when told to, with the length of its body."""
 
     def __init__(self) -> None:
         self.may_answer = asyncio.Event()
         self.started_count = 0
 
-    def may_run_concurrently(
-        self, message: request_parser.CallerMessage
-    ) -> bool:
-        """Return that requests may not run concurrently."""
-        del message
-        return False
-
-    def cancel_on_disconnect(
-        self, message: request_parser.CallerMessage
-    ) -> bool:
-        """Return that requests are not cancelled."""
-        del message
-        return False
-
     async def handle(
         self, message: request_parser.CallerMessage
     ) -> model.Response:
