Let the callers of a test stop sending once they are answered

test_long_bodies_of_many_callers_leave_memory_to_the_others[1] failed beside load with a broken pipe. Traced: a refused caller went on sending for more than LINGER_S (1 s) and read its answer only after that; the host had closed the connection by then. Callers of the test read their answer while they send, and stop when it has come. What is checked is the same.

--- a/tests/components/http/test_request_memory.py
+++ b/tests/components/http/test_request_memory.py
@@ -43,8 +43,9 @@
 class Upload(NamedTuple):
     """Hold a connection that sends a request with a long body."""
 
-    reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
+    # The head of the response, which may arrive before the body is sent.
+    answer: "asyncio.Task[bytes]"
 
 
 async def wait_until(condition: Callable[[], bool]) -> None:
@@ -60,7 +61,7 @@
     """Send the head of a request."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     writer.write(b"POST / HTTP/1.1\r\nHost: x\r\n" + framing + b"\r\n\r\n")
-    return Upload(reader, writer)
+    return Upload(writer, asyncio.ensure_future(reader.readuntil(b"\r\n\r\n")))
 
 
 def encode(size: int, *, chunk_size: int) -> bytes:
@@ -99,19 +100,21 @@
         part = encode(STEP_BYTES, chunk_size=chunk_size)
         for _ in range(BODY_BYTES // STEP_BYTES):
             for upload in uploads:
-                upload.writer.write(part)
+                if not upload.answer.done():
+                    upload.writer.write(part)
             await asyncio.sleep(0.005)
             assert memory.total_bytes <= LIMIT_BYTES
         small = await begin_upload(listener.port, framing=b"Content-Length: 2")
         small.writer.write(b"ok")
         for upload in uploads if chunk_size else ():
-            upload.writer.write(b"0\r\n\r\n")
+            if not upload.answer.done():
+                upload.writer.write(b"0\r\n\r\n")
         await wait_until(lambda: handler.started_count == 3)
         # Complete requests are counted until they have been answered.
         assert memory.total_bytes >= 2 * BODY_BYTES
         handler.may_answer.set()
         answers = [
-            await asyncio.wait_for(upload.reader.readuntil(b"\r\n\r\n"), 5)
+            await asyncio.wait_for(upload.answer, 5)
             for upload in [*uploads, small]
         ]
         for upload in [*uploads, small]:
@@ -148,6 +151,7 @@
             )
             upload.writer.write(b"a" * 100_000)
             await wait_until(lambda: memory.total_bytes >= 100_000)
+            upload.answer.cancel()
             upload.writer.close()
             await wait_until(lambda: not memory.total_bytes)
         listener.stop()
