--- a/tests/helpers/test_logging.py
+++ b/tests/helpers/test_logging.py
@@ -33,3 +33,12 @@
     assert fields["suppressed"] == 1023
     assert fields["code"] == 1101
     assert len(fields["work"]) == 63
+
+
+@pytest.mark.parametrize("number", [1, 2])
+def test_log_level_of_a_command_ends_with_its_test(number: int) -> None:
+    """Guard against later tests that format and keep each log record."""
+    del number
+    assert logging.getLogger().level == logging.WARNING
+    assert logging.getLogger("tornado.access").level == logging.NOTSET
+    logging_helper.configure(level="INFO", entry_host="eh-tallinn")
