Keep no request and no response for an idle connection

Callers saw: after long requests one after the other over kept connections, each of them answered, an entry host was killed for its memory, and the requests of others on it were lost.

Cause: the tasks that read and write a connection waited for the next request in the function that had handled the last one, whose local variables kept the last message and the last response alive.

Receiving a request and writing a response are functions of their own now, which return before the connection waits.

--- a/src/samphirelug/components/http/io_pipeline.py
+++ b/src/samphirelug/components/http/io_pipeline.py
@@ -116,21 +116,30 @@
                 # response.
                 await self._let_others_run()
                 continue
-            try:
-                self.parser.feed(data)
-            except request_parser.RequestError as error:
-                self.error_status = error.status
-            if not self.parser.completed:
+            if not self._receive(data):
                 await self._let_others_run()
-            for message, keep_alive in self.parser.completed:
-                self._enqueue(message, keep_alive)
-            self.parser.completed.clear()
-            self.listener.memory.update(self.parser)
-            self._send_continue()
-            if self.error_status is not None:
-                self.parser.discard()
-                self.listener.memory.release(self.parser)
-                self.writer_wakeup.set()
+
+    def _receive(self, data: bytes) -> bool:
+        """Parse received bytes; return whether they complete a request.
+
+        Nothing here may outlive the call but what the parser and the pending
+        requests hold: an idle connection would keep its last request.
+        """
+        try:
+            self.parser.feed(data)
+        except request_parser.RequestError as error:
+            self.error_status = error.status
+        has_completed = bool(self.parser.completed)
+        for message, keep_alive in self.parser.completed:
+            self._enqueue(message, keep_alive)
+        self.parser.completed.clear()
+        self.listener.memory.update(self.parser)
+        self._send_continue()
+        if self.error_status is not None:
+            self.parser.discard()
+            self.listener.memory.release(self.parser)
+            self.writer_wakeup.set()
+        return has_completed
 
     async def _read(self) -> bytes:
         data: bytes = await self.stream.read_bytes(
@@ -223,29 +232,36 @@
                 self.writer_wakeup.clear()
                 await self.writer_wakeup.wait()
             self._start_runnable()
-            first = self.pending[0]
-            assert first.task is not None
-            response = await asyncio.shield(first.task)
-            self.pending.popleft()
-            self.can_read.set()
-            # While draining, close only after the last pending response, as
-            # the caller would have to send the requests behind it again.
-            close = not first.keep_alive or (
-                self.listener.draining and not self.pending
-            )
-            self.idle_since_s = self.listener.timer.monotonic()
-            if close:
-                # Requests that arrive from now on are not started; the
-                # caller sends them again on another connection.
-                self.closing = True
-                self._discard_pending()
-            await self._write(
-                response, close=close, is_head=first.message.method == "HEAD"
-            )
-            if close:
+            if await self._write_first():
                 self._linger()
                 return
 
+    async def _write_first(self) -> bool:
+        """Write the next response; return whether it ends the connection.
+
+        An idle connection keeps neither this response nor its request.
+        """
+        first = self.pending[0]
+        assert first.task is not None
+        response = await asyncio.shield(first.task)
+        self.pending.popleft()
+        self.can_read.set()
+        # While draining, close only after the last pending response, as the
+        # caller would have to send the requests behind it again.
+        close = not first.keep_alive or (
+            self.listener.draining and not self.pending
+        )
+        self.idle_since_s = self.listener.timer.monotonic()
+        if close:
+            # Requests that arrive from now on are not started; the caller
+            # sends them again on another connection.
+            self.closing = True
+            self._discard_pending()
+        await self._write(
+            response, close=close, is_head=first.message.method == "HEAD"
+        )
+        return close
+
     async def _write(
         self, response: model.Response, *, close: bool, is_head: bool = False
     ) -> None:
