Count answers until their callers have read them

Callers saw: an entry host was killed for its memory, and their requests on it were lost, while others asked for long answers and read nothing of them.

Cause: the limit of all answers ended for an answer when it was complete. Its body was held until the caller had read it, and nothing ended a connection whose caller never read.

One account holds an answer from the first bytes of its server until it has been written. Beyond the limit the largest answer is given up that is still being received, or whose caller has read nothing for a second; small messages may take an eighth of the limit more, so that short answers go on. A caller that reads nothing for the idle timeout is disconnected. The tests use the new interface and could not run before.

--- a/src/samphirelug/components/http/const.py
+++ b/src/samphirelug/components/http/const.py
@@ -7,14 +7,19 @@
 READ_CHUNK_BYTES = 65536
 # Larger answers are rejected, as answers are held in memory.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
-# Limit of all answers that are being received at the same time. The smallest
-# hosts have 200 MB, of which the process itself uses about 70 MB.
+# Limit of all answers that are being received or sent at the same time. The
+# smallest hosts have 200 MB, of which the process itself uses about 70 MB.
 MAX_HELD_ANSWER_BYTES = 64 * 1024 * 1024
 # Share of a process's memory that requests may take, on all connections
 # together. Completing one takes twice its size for a moment.
 HELD_REQUESTS_SHARE = 0.25
 # Delay after which a caller may repeat a request that was refused for memory.
 MEMORY_RETRY_AFTER_S = 0.5
+# A response is written in steps of this size, so that its progress shows.
+WRITE_STEP_BYTES = 256 * 1024
+# A caller that has read nothing for this long loses its response if memory is
+# short.
+UNREAD_AFTER_S = 1.0
 # A longer body is written apart from its head, as joining them would copy it.
 MAX_JOINED_BODY_BYTES = 65536
 # Limit of heads, trailers and framing in one exchange. Servers send heads of
--- a/src/samphirelug/components/http/io_connection.py
+++ b/src/samphirelug/components/http/io_connection.py
@@ -15,11 +15,11 @@
 
 
 def write(
-    stream: iostream.IOStream, *, head: bytes, body: bytes
+    stream: iostream.IOStream, *, head: bytes, body: bytes | memoryview
 ) -> "asyncio.Future[None]":
     """Write a message without a copy of a long body."""
     if len(body) <= const.MAX_JOINED_BODY_BYTES:
-        return stream.write(head + body)
+        return stream.write(head + bytes(body))
     stream.write(head).add_done_callback(suppress_write_error)
     return stream.write(body)
 
--- a/src/samphirelug/components/http/io_pipeline.py
+++ b/src/samphirelug/components/http/io_pipeline.py
@@ -19,6 +19,7 @@
 from samphirelug.components.http import io_connection
 from samphirelug.components.http import model
 from samphirelug.components.http import request_parser
+from samphirelug.components.http import unread_answer
 from samphirelug.components.routing import model as routing_model
 from samphirelug.helpers import timer as timer_helper
 
@@ -62,6 +63,10 @@
         self.message = message
         self.keep_alive = keep_alive
         self.task: asyncio.Task[model.Response] | None = None
+        # Set from the end of the task until the response has been written.
+        self.answer: unread_answer.UnreadAnswer | None = None
+        # Whether no response can be written any more.
+        self.discarded = False
 
 
 class CallerConnection:
@@ -84,6 +89,9 @@
         self.can_read = asyncio.Event()
         self.can_read.set()
         self.idle_since_s = listener.timer.monotonic()
+        # When the caller last read a part of a response; None while none is
+        # being written.
+        self.read_at_s: float | None = None
         # Status of the error response that ends the connection, if any.
         self.error_status: int | None = None
         self.closing = False
@@ -194,18 +202,38 @@
                 handler.handle(pending.message)
             )
             pending.task.add_done_callback(
-                functools.partial(
-                    self._count_ended, size=len(pending.message.body)
-                )
+                functools.partial(self._handle_ended, pending=pending)
             )
             if not pending.keep_alive:
                 break
 
-    def _count_ended(
-        self, task: "asyncio.Task[model.Response]", *, size: int
+    def _handle_ended(
+        self, task: "asyncio.Task[model.Response]", *, pending: PendingRequest
     ) -> None:
-        del task
-        self.listener.memory.drop(size)
+        """Count the response in place of its request."""
+        self.listener.memory.drop(len(pending.message.body))
+        if pending.discarded or task.cancelled() or task.exception():
+            return
+        pending.answer = unread_answer.UnreadAnswer(
+            size=len(task.result().body),
+            is_stalled=self._is_stalled,
+            on_rejected=self._give_up_unread,
+        )
+        self.listener.answer_memory.update(pending.answer)
+
+    def _is_stalled(self) -> bool:
+        """Return whether the caller has read nothing for a while."""
+        now = self.listener.timer.monotonic()
+        return (
+            self.read_at_s is not None
+            and now - self.read_at_s > const.UNREAD_AFTER_S
+        )
+
+    def _give_up_unread(self, reason: held_memory.Reason) -> None:
+        _LOGGER.warning(
+            "caller does not read its response", extra={"detail": reason}
+        )
+        self.close()
 
     async def _write_responses(self) -> None:
         try:
@@ -257,9 +285,12 @@
             # sends them again on another connection.
             self.closing = True
             self._discard_pending()
-        await self._write(
-            response, close=close, is_head=first.message.method == "HEAD"
-        )
+        try:
+            await self._write(
+                response, close=close, is_head=first.message.method == "HEAD"
+            )
+        finally:
+            self._release_answer(first)
         return close
 
     async def _write(
@@ -274,9 +305,19 @@
         if close:
             lines.append("Connection: close")
         head = "\r\n".join(lines) + "\r\n\r\n"
-        await io_connection.write(
-            self.stream, head=head.encode("latin-1"), body=response.body
-        )
+        self.read_at_s = self.listener.timer.monotonic()
+        try:
+            await self._write_in_steps(head.encode("latin-1"), response.body)
+        finally:
+            self.read_at_s = None
+
+    async def _write_in_steps(self, head: bytes, body: bytes) -> None:
+        step = memoryview(body)[: const.WRITE_STEP_BYTES]
+        await io_connection.write(self.stream, head=head, body=step)
+        for start in range(len(step), len(body), const.WRITE_STEP_BYTES):
+            self.read_at_s = self.listener.timer.monotonic()
+            step = memoryview(body)[start : start + const.WRITE_STEP_BYTES]
+            await self.stream.write(step)
 
     def _linger(self) -> None:
         """Shut down sending; close after LINGER_S unless the caller does."""
@@ -294,6 +335,8 @@
         """Cancel or detach the requests whose responses cannot be sent."""
         handler = self.listener.handler
         for pending in self.pending:
+            pending.discarded = True
+            self._release_answer(pending)
             task = pending.task
             if task is None:
                 self.listener.memory.drop(len(pending.message.body))
@@ -304,6 +347,11 @@
                 self.listener.detach(task)
         self.pending.clear()
 
+    def _release_answer(self, pending: PendingRequest) -> None:
+        if pending.answer is not None:
+            self.listener.answer_memory.release(pending.answer)
+            pending.answer = None
+
     def is_idle(self) -> bool:
         """Return whether nothing is being received, handled or written."""
         return (
@@ -323,13 +371,18 @@
             return False
 
     def check_timeouts(self, *, now: float) -> None:
-        """Answer a slow request with 408; close an idle connection."""
+        """Answer a slow request with 408; close a connection out of use."""
         limits = self.listener.limits()
         started_at_s = self.parser.started_at_s
         if started_at_s is not None and not self.pending:
             if now - started_at_s > limits.header_timeout_s:
                 self.error_status = 408
                 self.writer_wakeup.set()
+        elif (
+            self.read_at_s is not None
+            and now - self.read_at_s > limits.idle_timeout_s
+        ):
+            self._give_up_unread("the idle timeout has passed")
         elif (
             self.is_idle()
             and now - self.idle_since_s
@@ -348,10 +401,14 @@
         limits: Callable[[], routing_model.CallerLimits],
         timer: timer_helper.TimerService,
         memory: held_memory.HeldMemory,
+        answer_memory: held_memory.HeldMemory,
     ) -> None:
         super().__init__(max_buffer_size=2 * const.DEFAULT_BODY_BYTES)
         # The memory of the requests of all connections.
         self.memory = memory
+        # The memory of all answers, from the first bytes of a server until
+        # callers have read them.
+        self.answer_memory = answer_memory
         self.handler = handler
         self.limits = limits
         self.timer = timer
--- a/src/samphirelug/components/http/io_pool.py
+++ b/src/samphirelug/components/http/io_pool.py
@@ -41,6 +41,7 @@
         timer: timer_helper.TimerService,
         names: http_model.HeaderNames,
         may_be_sent: Callable[[fleet_model.ServerInstance], bool],
+        memory: held_memory.HeldMemory,
     ) -> None:
         self.timer = timer
         self.names = names
@@ -58,9 +59,7 @@
         self.idle_connections: dict[
             tuple[str, int], list[io_connection.ServerConnection]
         ] = {}
-        self.memory = held_memory.HeldMemory(
-            limit_bytes=const.MAX_HELD_ANSWER_BYTES
-        )
+        self.memory = memory
         # Set anew for the server, except Expect, which the listener handles.
         self.dropped_request_headers = frozenset(
             (
--- a/src/samphirelug/components/http/request_parser.py
+++ b/src/samphirelug/components/http/request_parser.py
@@ -37,7 +37,7 @@
         self.status = status
 
 
-class RequestParser(held_memory.Receiver):
+class RequestParser(held_memory.Holder):
     """Collect the complete requests of one connection, in order."""
 
     def __init__(
--- a/src/samphirelug/components/http/response_parser.py
+++ b/src/samphirelug/components/http/response_parser.py
@@ -56,7 +56,7 @@
         )
 
 
-class ResponseParser(held_memory.Receiver):
+class ResponseParser(held_memory.Holder):
     """Collect the responses of a connection, in order.
 
     A server may send answers to earlier requests before the expected one, and
--- a/src/samphirelug/forwarding_host.py
+++ b/src/samphirelug/forwarding_host.py
@@ -119,9 +119,13 @@
         # Number of hosts that look-up answers list, as of a generation of the
         # roster.
         self.listed_hosts: tuple[int, int] = (-1, 0)
+        answer_memory = held_memory.HeldMemory(
+            limit_bytes=http_const.MAX_HELD_ANSWER_BYTES
+        )
         self.sender = io_pool.PooledSender(
             timer=timer,
             names=names,
+            memory=answer_memory,
             may_be_sent=lambda server: (
                 self.registry.may_be_sent(server)
                 and not self.placer.is_held(server, now=timer.monotonic())
@@ -196,6 +200,7 @@
                     * settings.resources.memory_bytes
                 )
             ),
+            answer_memory=answer_memory,
         )
         self.roster.evacuations = fleet_evacuations.EvacuationExchange(
             view=self.views[store_feed.ObjectKind.EVACUATIONS],
--- a/standins/forwarding.py
+++ b/standins/forwarding.py
@@ -2,6 +2,7 @@
 
 from samphirelug.components.fleet import model as fleet_model
 from samphirelug.components.forwarding import model as forwarding_model
+from samphirelug.components.http import held_memory
 from samphirelug.components.http import model as http_model
 from samphirelug.components.routing import model as routing_model
 from samphirelug import core
@@ -25,10 +26,15 @@
     header_timeout_s=1.0,
     idle_timeout_s=5.0,
 )
-# Memory that the requests of all connections may take.
+# Memory that the messages of all connections may take.
 MEMORY_BYTES = 64 * 1024 * 1024
 
 
+def memory() -> held_memory.HeldMemory:
+    """Return an empty account of the memory of messages."""
+    return held_memory.HeldMemory(limit_bytes=MEMORY_BYTES)
+
+
 def route(
     *,
     name: str = "status",
--- a/standins/soak/servers.py
+++ b/standins/soak/servers.py
@@ -6,7 +6,6 @@
 import random
 import time
 
-from samphirelug.components.http import held_memory
 from samphirelug.components.http import io_pipeline
 from samphirelug.components.http import model as http_model
 from samphirelug.components.http import request_parser
@@ -147,7 +146,8 @@
                 max_header_bytes=16384, max_body_bytes=1 << 20
             ),
             timer=timer_helper.LoopTimerService(),
-            memory=held_memory.HeldMemory(limit_bytes=build.MEMORY_BYTES),
+            memory=build.memory(),
+            answer_memory=build.memory(),
         )
 
     def start(self, host: str) -> None:
--- a/tests/components/http/test_endless_answers.py
+++ b/tests/components/http/test_endless_answers.py
@@ -53,7 +53,10 @@
     async def main() -> model.AttemptResult:
         timer = timer_helper.LoopTimerService()
         sender = io_pool.PooledSender(
-            timer=timer, names=build.NAMES, may_be_sent=lambda _: True
+            timer=timer,
+            names=build.NAMES,
+            may_be_sent=lambda _: True,
+            memory=build.memory(),
         )
         attempt = model.Attempt(
             build.request(request_id="r1"),
--- a/tests/components/http/test_endless_requests.py
+++ b/tests/components/http/test_endless_requests.py
@@ -8,7 +8,6 @@
 
 import pytest
 
-from samphirelug.components.http import held_memory
 from samphirelug.components.http import io_pipeline
 from samphirelug.components.http import model
 from samphirelug.components.http import request_parser
@@ -71,7 +70,8 @@
         handler=UnusedHandler(),
         limits=lambda: build.LIMITS,
         timer=timer,
-        memory=held_memory.HeldMemory(limit_bytes=build.MEMORY_BYTES),
+        memory=build.memory(),
+        answer_memory=build.memory(),
     )
     listener.start_listening(host="127.0.0.1", port=0)
     caller = EndlessCaller(
--- a/tests/components/http/test_held_memory.py
+++ b/tests/components/http/test_held_memory.py
@@ -2,6 +2,7 @@
 
 from samphirelug.components.http import held_memory
 from samphirelug.components.http import response_parser
+from samphirelug.components.http import unread_answer
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n"
 SMALL = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
@@ -47,3 +48,34 @@
         memory.release(parser)
         assert not parser.error
     assert memory.total_bytes == 0
+
+
+def test_small_answers_pass_while_unread_ones_fill_the_memory() -> None:
+    """Guard against slow callers whose answers cost all others theirs."""
+    memory = held_memory.HeldMemory(limit_bytes=10_000_000)
+    unread = unread_answer.UnreadAnswer(
+        size=10_000_000, is_stalled=lambda: False, on_rejected=lambda _: None
+    )
+    memory.update(unread)
+    small = [response_parser.ResponseParser(is_head=False) for _ in range(100)]
+    for parser in small:
+        parser.feed(SMALL + b"o")
+        memory.update(parser)
+    assert not any(parser.too_large for parser in small)
+    large = response_parser.ResponseParser(is_head=False)
+    large.feed(HEAD + BLOCK * 20)
+    memory.update(large)
+    assert large.too_large
+
+
+def test_small_messages_beyond_the_limit_are_limited_too() -> None:
+    """Guard against very many small messages that no limit stops."""
+    memory = held_memory.HeldMemory(limit_bytes=1_000_000)
+    parsers = [
+        response_parser.ResponseParser(is_head=False) for _ in range(6000)
+    ]
+    for parser in parsers:
+        parser.feed(SMALL + b"o")
+        memory.update(parser)
+        assert memory.total_bytes <= 1_125_000
+    assert any(parser.too_large for parser in parsers)
--- a/tests/components/http/test_idle_memory.py
+++ b/tests/components/http/test_idle_memory.py
@@ -4,7 +4,6 @@
 import gc
 import tracemalloc
 
-from samphirelug.components.http import held_memory
 from samphirelug.components.http import io_pipeline
 from samphirelug.components.http import model
 from samphirelug.components.http import request_parser
@@ -46,7 +45,8 @@
             handler=EchoHandler(),
             limits=lambda: LIMITS,
             timer=timer_helper.LoopTimerService(),
-            memory=held_memory.HeldMemory(limit_bytes=10 * BODY_BYTES),
+            memory=build.memory(),
+            answer_memory=build.memory(),
         )
         listener.start_listening(host="127.0.0.1", port=0)
         before, _ = tracemalloc.get_traced_memory()
--- a/tests/components/http/test_io_pipeline.py
+++ b/tests/components/http/test_io_pipeline.py
@@ -6,7 +6,6 @@
 import os
 import socket
 
-from samphirelug.components.http import held_memory
 from samphirelug.components.http import io_pipeline
 from samphirelug.components.http import model
 from samphirelug.components.http import request_parser
@@ -65,7 +64,8 @@
             handler=handler,
             limits=lambda: build.LIMITS,
             timer=timer_helper.LoopTimerService(),
-            memory=held_memory.HeldMemory(limit_bytes=build.MEMORY_BYTES),
+            memory=build.memory(),
+            answer_memory=build.memory(),
         )
         listener.start_listening(host="127.0.0.1", port=0)
         reader, writer = await asyncio.open_connection(
--- a/tests/components/http/test_io_pool.py
+++ b/tests/components/http/test_io_pool.py
@@ -64,7 +64,10 @@
         port = listener.sockets[0].getsockname()[1]
         timer = timer_helper.LoopTimerService()
         sender = io_pool.PooledSender(
-            timer=timer, names=build.NAMES, may_be_sent=lambda _: True
+            timer=timer,
+            names=build.NAMES,
+            may_be_sent=lambda _: True,
+            memory=build.memory(),
         )
 
         def attempt(
--- a/tests/components/http/test_request_memory.py
+++ b/tests/components/http/test_request_memory.py
@@ -1,7 +1,6 @@
 """Test the memory of requests that arrive at the same time."""
 
 import asyncio
-from collections.abc import Callable
 from typing import NamedTuple
 
 import pytest
@@ -13,6 +12,7 @@
 from samphirelug.helpers import timer as timer_helper
 from standins import forwarding as build
 from tests.components.http import handlers
+from tests.components.http import polling
 
 LIMIT_BYTES = 1_000_000
 BODY_BYTES = 400_000
@@ -20,8 +20,6 @@
 LIMITS = build.LIMITS._replace(
     max_body_bytes=BODY_BYTES, header_timeout_s=30.0
 )
-POLL_INTERVAL_S = 0.005
-MAX_POLLS = 2000
 
 
 class SlowHandler(handlers.SequentialHandler):
@@ -48,15 +46,6 @@
     answer: "asyncio.Task[bytes]"
 
 
-async def wait_until(condition: Callable[[], bool]) -> None:
-    """Return when a condition holds."""
-    for _ in range(MAX_POLLS):
-        if condition():
-            return
-        await asyncio.sleep(POLL_INTERVAL_S)
-    raise AssertionError("the condition does not hold in time")
-
-
 async def begin_upload(port: int, *, framing: bytes) -> Upload:
     """Send the head of a request."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
@@ -86,6 +75,7 @@
             limits=lambda: LIMITS,
             timer=timer_helper.LoopTimerService(),
             memory=memory,
+            answer_memory=build.memory(),
         )
         listener.start_listening(host="127.0.0.1", port=0)
         framing = (
@@ -109,7 +99,7 @@
         for upload in uploads if chunk_size else ():
             if not upload.answer.done():
                 upload.writer.write(b"0\r\n\r\n")
-        await wait_until(lambda: handler.started_count == 3)
+        await polling.wait_until(lambda: handler.started_count == 3)
         # Complete requests are counted until they have been answered.
         assert memory.total_bytes >= 2 * BODY_BYTES
         handler.may_answer.set()
@@ -120,7 +110,7 @@
         for upload in [*uploads, small]:
             upload.writer.close()
         listener.stop()
-        await wait_until(lambda: not listener.connections)
+        await polling.wait_until(lambda: not listener.connections)
         assert memory.total_bytes == 0
         return answers
 
@@ -143,6 +133,7 @@
             limits=lambda: LIMITS,
             timer=timer_helper.LoopTimerService(),
             memory=memory,
+            answer_memory=build.memory(),
         )
         listener.start_listening(host="127.0.0.1", port=0)
         for _ in range(20):
@@ -150,10 +141,10 @@
                 listener.port, framing=b"Content-Length: 300000"
             )
             upload.writer.write(b"a" * 100_000)
-            await wait_until(lambda: memory.total_bytes >= 100_000)
+            await polling.wait_until(lambda: memory.total_bytes >= 100_000)
             upload.answer.cancel()
             upload.writer.close()
-            await wait_until(lambda: not memory.total_bytes)
+            await polling.wait_until(lambda: not memory.total_bytes)
         listener.stop()
 
     asyncio.run(asyncio.wait_for(main(), 30))
