Name the mark of a host that this process reported as absent

HostRecord.silent no longer meant a silence: since hosts are asked, it says that this process has reported the host as absent and therefore reports its return. It is reported_absent now; no change of behaviour. The tests of components/fleet pass.

--- a/src/samphirelug/components/fleet/host_record.py
+++ b/src/samphirelug/components/fleet/host_record.py
@@ -17,7 +17,7 @@
         # Whether this process is a monitor of the host: it gets its beats.
         self.monitored = False
         # Whether this process has reported it as absent.
-        self.silent = False
+        self.reported_absent = False
         # Whether any notice of the host has been received.
         self.heard = False
         # Number of times to ask the host, since others call it absent.
--- a/src/samphirelug/components/fleet/roster.py
+++ b/src/samphirelug/components/fleet/roster.py
@@ -80,7 +80,7 @@
     def has_lost_host(self, *, now: float, since_s: float) -> bool:
         """Return whether a host that sends beats here stopped after a time."""
         return any(
-            (record.monitored or record.silent)
+            (record.monitored or record.reported_absent)
             and since_s <= record.heard_at_s < now - const.ASK_AFTER_S
             for record in self.records.values()
         )
@@ -307,7 +307,7 @@
         hosts that may just be starting again.
         """
         record.monitored = False
-        record.silent = True
+        record.reported_absent = True
         self._mark_absent(record, "silent", now - record.heard_at_s)
         notice = Notice(
             const.ABSENT, record.host.name, record.host.incarnation
@@ -366,8 +366,8 @@
         record.heard_at_s = now
         record.heard = True
         # Those who reported it as absent report that it is back.
-        reports_return = record.silent or notice.kind == const.BEAT
-        record.silent = False
+        reports_return = record.reported_absent or notice.kind == const.BEAT
+        record.reported_absent = False
         if notice.kind == const.LEAVING:
             record.leaving = True
             if record.left_at_s is None:
