Place requests whose hash rounds to one

A caller whose key and server have one of the 1024 largest of 2^64 hashes got 500: the scaled hash rounds to 1, and the weighted score divided by its logarithm, 0.

The scaled hash is the largest number below 1 at most.

--- a/src/samphirelug/helpers/rendezvous.py
+++ b/src/samphirelug/helpers/rendezvous.py
@@ -8,6 +8,7 @@
 
 # Factor that scales a 64-bit hash to the open interval from 0 to 1.
 HASH_SCALE = 1.0 / (1 << 64)
+LARGEST_BELOW_ONE = math.nextafter(1.0, 0.0)
 
 
 def rank_names(*, key: str, names: Iterable[str]) -> list[str]:
@@ -37,4 +38,6 @@
 
 def _weighted_score(key: str, name: str, weight: float) -> float:
     digest = xxhash.xxh64_intdigest(f"{key}\0{name}".encode())
-    return -weight / math.log((digest + 0.5) * HASH_SCALE)
+    # The product of the largest hashes rounds to 1, whose logarithm is 0.
+    uniform = min((digest + 0.5) * HASH_SCALE, LARGEST_BELOW_ONE)
+    return -weight / math.log(uniform)
