Do not collect bodies sent to the directory and other endpoints

Callers saw: an entry host was killed for its memory, and their requests on it were lost, while four others sent bodies of 90 MB to its directory.

Cause: the web server collects a body, up to 100 MB on each connection, before it looks for who handles the request. The directory, readiness, metrics and the links between hosts listened with this limit, while only the listener for requests had limits of its own.

--- a/src/samphirelug/components/following/io_websockets.py
+++ b/src/samphirelug/components/following/io_websockets.py
@@ -16,6 +16,7 @@
 from samphirelug.components.following import coordinator as follow_coordinator
 from samphirelug.components.following import links
 from samphirelug.components.following import sessions
+from samphirelug.components.http import io_endpoints
 
 _LOGGER = logging.getLogger(__name__)
 PATH = "/following"
@@ -161,7 +162,12 @@
         [(PATH, FollowHandler, {"coordinator": coordinator})],
         websocket_max_message_size=const.MAX_FRAME_BYTES,
     )
-    return application.listen(port, host)
+    return io_endpoints.listen(
+        application,
+        host=host,
+        port=port,
+        max_buffer_bytes=2 * const.MAX_FRAME_BYTES,
+    )
 
 
 def _is_writing(connection: websocket.WebSocketProtocol) -> bool:
--- a/src/samphirelug/components/http/const.py
+++ b/src/samphirelug/components/http/const.py
@@ -50,5 +50,9 @@
 DEFAULT_BODY_BYTES = 16 * 1024 * 1024
 DEFAULT_HEADER_TIMEOUT_S = 5.0
 DEFAULT_IDLE_TIMEOUT_S = 30.0
+# Limits of requests to endpoints that take no bodies. The web server collects
+# a body before it looks for who handles the request.
+ENDPOINT_BODY_BYTES = 1024
+ENDPOINT_BUFFER_BYTES = 128 * 1024
 # Added to the idle timeout, as callers reuse a connection right up to it.
 IDLE_MARGIN_S = 1.0
