Count the heads of complete requests and of unread answers

Requests that wait behind others on their connection, and answers that wait for their callers, counted with their bodies only. A head of 16 KB with 1,000 short fields takes more than 100 KB of memory, and sixteen such requests may wait on each connection.

Both count with the memory of their fields as well, as messages do while they arrive. The new test failed before: ten pipelined requests with 1,000 fields each held more than 1 MB, of which nothing was counted.

--- a/src/samphirelug/components/http/body_buffer.py
+++ b/src/samphirelug/components/http/body_buffer.py
@@ -1,5 +1,6 @@
 """Collect the parts of a body that is being received."""
 
+from collections.abc import Iterable
 import sys
 
 # Smaller parts are joined up to this size, as each object takes some 40 bytes
@@ -45,3 +46,10 @@
         + sys.getsizeof(value)
         + REFERENCE_BYTES
     )
+
+
+def message_size(
+    *, headers: Iterable[tuple[str, str]], body: bytes | bytearray
+) -> int:
+    """Return the bytes of memory that a complete message takes."""
+    return len(body) + sum(map(field_size, headers))
--- a/src/samphirelug/components/http/io_pipeline.py
+++ b/src/samphirelug/components/http/io_pipeline.py
@@ -14,6 +14,7 @@
 from tornado import netutil
 from tornado import tcpserver
 
+from samphirelug.components.http import body_buffer
 from samphirelug.components.http import const
 from samphirelug.components.http import held_memory
 from samphirelug.components.http import io_connection
@@ -62,6 +63,10 @@
     ) -> None:
         self.message = message
         self.keep_alive = keep_alive
+        # Bytes of memory that the request takes.
+        self.size = body_buffer.message_size(
+            headers=message.headers, body=message.body
+        )
         self.task: asyncio.Task[model.Response] | None = None
         # Set from the end of the task until the response has been written.
         self.answer: unread_answer.UnreadAnswer | None = None
@@ -182,7 +187,7 @@
         if self.closing:
             return
         pending = PendingRequest(message=message, keep_alive=keep_alive)
-        self.listener.memory.hold(len(message.body))
+        self.listener.memory.hold(pending.size)
         self.pending.append(pending)
         self._start_runnable()
         if len(self.pending) >= const.MAX_PIPELINED:
@@ -211,11 +216,14 @@
         self, task: "asyncio.Task[model.Response]", *, pending: PendingRequest
     ) -> None:
         """Count the response in place of its request."""
-        self.listener.memory.drop(len(pending.message.body))
+        self.listener.memory.drop(pending.size)
         if pending.discarded or task.cancelled() or task.exception():
             return
+        response = task.result()
         pending.answer = unread_answer.UnreadAnswer(
-            size=len(task.result().body),
+            size=body_buffer.message_size(
+                headers=response.headers, body=response.body
+            ),
             is_stalled=self._is_stalled,
             on_rejected=self._give_up_unread,
         )
@@ -339,7 +347,7 @@
             self._release_answer(pending)
             task = pending.task
             if task is None:
-                self.listener.memory.drop(len(pending.message.body))
+                self.listener.memory.drop(pending.size)
                 continue
             if handler.cancel_on_disconnect(pending.message):
                 task.cancel()
--- a/src/samphirelug/components/http/unread_answer.py
+++ b/src/samphirelug/components/http/unread_answer.py
@@ -21,7 +21,7 @@
 
     @property
     def held_bytes(self) -> int:
-        """Return the length of the response's body."""
+        """Return the bytes of memory that the response takes."""
         return self.size
 
     @property
--- a/tests/components/http/test_request_memory.py
+++ b/tests/components/http/test_request_memory.py
@@ -1,6 +1,7 @@
 """Test the memory of requests that arrive at the same time."""
 
 import asyncio
+import tracemalloc
 from typing import NamedTuple
 
 import pytest
@@ -17,6 +18,7 @@
 LIMIT_BYTES = 1_000_000
 BODY_BYTES = 400_000
 STEP_BYTES = 20_000
+TIMEOUT_S = 30
 LIMITS = build.LIMITS._replace(
     max_body_bytes=BODY_BYTES, header_timeout_s=30.0
 )
@@ -148,3 +150,47 @@
         listener.stop()
 
     asyncio.run(asyncio.wait_for(main(), 30))
+
+
+def test_heads_of_pipelined_requests_count_with_their_memory() -> None:
+    """Guard against a host that dies of heads of many short fields."""
+    fields = b"".join(b"A%d:1\r\n" % number for number in range(1000))
+    count = 10
+
+    async def main() -> tuple[int, int]:
+        memory = held_memory.HeldMemory(limit_bytes=100 * LIMIT_BYTES)
+        limits = LIMITS._replace(max_header_bytes=16_384)
+        listener = io_pipeline.CallerListener(
+            handler=SlowHandler(),
+            limits=lambda: limits,
+            timer=timer_helper.LoopTimerService(),
+            memory=memory,
+            answer_memory=build.memory(),
+        )
+        listener.start_listening(host="127.0.0.1", port=0)
+        before, _ = tracemalloc.get_traced_memory()
+        _, writer = await asyncio.open_connection("127.0.0.1", listener.port)
+        request = b"GET / HTTP/1.1\r\nHost: x\r\n" + fields + b"\r\n"
+        writer.write(request * count)
+        await polling.wait_until(
+            lambda: any(
+                len(connection.pending) == count
+                for connection in listener.connections
+            )
+        )
+        after, _ = tracemalloc.get_traced_memory()
+        counted_bytes = memory.total_bytes
+        writer.close()
+        await polling.wait_until(lambda: not listener.connections)
+        listener.stop()
+        return after - before, counted_bytes
+
+    tracemalloc.start()
+    try:
+        held_bytes, counted_bytes = asyncio.run(
+            asyncio.wait_for(main(), TIMEOUT_S)
+        )
+    finally:
+        tracemalloc.stop()
+    assert held_bytes > 1_000_000
+    assert counted_bytes > 0.8 * held_bytes
