Count a complete request once

Callers saw: the answer to a request with a body of more than an eighth of the host's memory (37.5 MB of 300), and behind it a 503 that nothing had asked for; the connection closed. Found by reading; introduced with the limit of all requests.

Cause: a request that had just become complete was counted among the pending ones before its parser, which held it until then, was counted anew. Beyond half of the limit both together passed it, and the largest message that was still "being received" was the same request.

The parser is counted first. The new test failed before.

--- a/src/samphirelug/components/http/io_pipeline.py
+++ b/src/samphirelug/components/http/io_pipeline.py
@@ -143,10 +143,11 @@
         except request_parser.RequestError as error:
             self.error_status = error.status
         has_completed = bool(self.parser.completed)
+        # Complete requests are counted when they are added to the pending.
+        self.listener.memory.update(self.parser)
         for message, keep_alive in self.parser.completed:
             self._enqueue(message, keep_alive)
         self.parser.completed.clear()
-        self.listener.memory.update(self.parser)
         self._send_continue()
         if self.error_status is not None:
             self.parser.discard()
--- a/tests/components/http/test_request_memory.py
+++ b/tests/components/http/test_request_memory.py
@@ -194,3 +194,38 @@
         tracemalloc.stop()
     assert held_bytes > 1_000_000
     assert counted_bytes > 0.8 * held_bytes
+
+
+@pytest.mark.parametrize("body_bytes", [600_000, 900_000])
+def test_long_request_is_not_counted_twice(body_bytes: int) -> None:
+    """Guard against a 503 behind the answer to a request that was served."""
+
+    async def main() -> list[bytes]:
+        handler = SlowHandler()
+        handler.may_answer.set()
+        limits = LIMITS._replace(max_body_bytes=body_bytes)
+        listener = io_pipeline.CallerListener(
+            handler=handler,
+            limits=lambda: limits,
+            timer=timer_helper.LoopTimerService(),
+            memory=held_memory.HeldMemory(limit_bytes=LIMIT_BYTES),
+            answer_memory=build.memory(),
+        )
+        listener.start_listening(host="127.0.0.1", port=0)
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", listener.port
+        )
+        status_lines = []
+        for _ in range(2):
+            writer.write(b"POST / HTTP/1.1\r\nHost: x\r\n")
+            writer.write(b"Content-Length: %d\r\n\r\n" % body_bytes)
+            writer.write(bytes(body_bytes))
+            head = await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(len(str(body_bytes)))
+            status_lines.append(head.partition(b"\r\n")[0])
+        writer.close()
+        listener.stop()
+        return status_lines
+
+    status_lines = asyncio.run(asyncio.wait_for(main(), TIMEOUT_S))
+    assert status_lines == [b"HTTP/1.1 200 OK"] * 2
