Pause accepting while there are no descriptors

A trial with a host that is limited to 200 descriptors and has 300 idle connections: one core busy, 10 MB of log in 4 s, six of ten requests on a kept connection 500. No process ended.

Cause: the accept handler of the web server raised EMFILE, and was called again at once, as the socket stays readable while a connection waits in its queue. A request for which no socket could be opened ended with an unexpected error.

Listeners accept through a handler of their own, which pauses for 0.1 s; callers may take 0.6 of the descriptors that the settings name, and further ones wait in the queue. A request without a socket counts as not sent.

--- a/src/samphirelug/components/http/const.py
+++ b/src/samphirelug/components/http/const.py
@@ -45,6 +45,13 @@
 # Requests of one connection that are handled at the same time.
 MAX_PIPELINED = 16
 LISTEN_BACKLOG = 1024
+# Connections that are accepted in one iteration of the event loop.
+ACCEPT_BATCH = 128
+# Time after which a listener that had no room tries again to accept.
+ACCEPT_PAUSE_S = 0.1
+# Share of the host's descriptors that connections of callers may take; the
+# others are for backend servers, the store and other hosts.
+CALLER_DESCRIPTORS_SHARE = 0.6
 # In force until the first configuration sets the limits.
 DEFAULT_HEADER_BYTES = 16 * 1024
 DEFAULT_BODY_BYTES = 16 * 1024 * 1024
--- a/src/samphirelug/components/http/io_endpoints.py
+++ b/src/samphirelug/components/http/io_endpoints.py
@@ -4,6 +4,11 @@
 from tornado import web
 
 from samphirelug.components.http import const
+from samphirelug.components.http import io_accept
+
+
+class EndpointServer(io_accept.PausingServer, httpserver.HTTPServer):
+    """Serve HTTP requests, and pause without descriptors."""
 
 
 def listen(
@@ -14,7 +19,7 @@
     max_buffer_bytes: int = const.ENDPOINT_BUFFER_BYTES,
 ) -> httpserver.HTTPServer:
     """Serve an application on an address; longer requests get status 400."""
-    server = httpserver.HTTPServer(
+    server = EndpointServer(
         application,
         max_buffer_size=max_buffer_bytes,
         max_header_size=const.DEFAULT_HEADER_BYTES,
--- a/src/samphirelug/components/http/io_pipeline.py
+++ b/src/samphirelug/components/http/io_pipeline.py
@@ -12,11 +12,11 @@
 
 from tornado import iostream
 from tornado import netutil
-from tornado import tcpserver
 
 from samphirelug.components.http import body_buffer
 from samphirelug.components.http import const
 from samphirelug.components.http import held_memory
+from samphirelug.components.http import io_accept
 from samphirelug.components.http import io_connection
 from samphirelug.components.http import model
 from samphirelug.components.http import request_parser
@@ -400,7 +400,7 @@
             self.close()
 
 
-class CallerListener(tcpserver.TCPServer):
+class CallerListener(io_accept.PausingServer):
     """Accept callers' connections on one address."""
 
     def __init__(
@@ -411,6 +411,7 @@
         timer: timer_helper.TimerService,
         memory: held_memory.HeldMemory,
         answer_memory: held_memory.HeldMemory,
+        max_connections: int,
     ) -> None:
         super().__init__(max_buffer_size=2 * const.DEFAULT_BODY_BYTES)
         # The memory of the requests of all connections.
@@ -418,6 +419,8 @@
         # The memory of all answers, from the first bytes of a server until
         # callers have read them.
         self.answer_memory = answer_memory
+        # Further connections wait in the queue of the socket.
+        self.max_connections = max_connections
         self.handler = handler
         self.limits = limits
         self.timer = timer
@@ -439,6 +442,10 @@
             callback=self._check_timeouts,
         )
 
+    def has_room(self) -> bool:
+        """Return whether a further connection may be accepted."""
+        return len(self.connections) < self.max_connections
+
     def stop(self) -> None:
         """Stop listening; connections that the kernel has accepted stay.
 
--- a/src/samphirelug/components/http/io_pool.py
+++ b/src/samphirelug/components/http/io_pool.py
@@ -119,7 +119,11 @@
             remaining_s = attempt.deadline_at_s - self.timer.monotonic()
             if remaining_s <= 0:
                 break
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            try:
+                sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            except OSError as error:
+                detail = f"no socket: {error}"
+                break
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             stream = iostream.IOStream(
                 sock, max_buffer_size=2 * const.MAX_ANSWER_BYTES
--- a/src/samphirelug/forwarding_host.py
+++ b/src/samphirelug/forwarding_host.py
@@ -201,6 +201,10 @@
                 )
             ),
             answer_memory=answer_memory,
+            max_connections=int(
+                http_const.CALLER_DESCRIPTORS_SHARE
+                * settings.resources.max_descriptors
+            ),
         )
         self.roster.evacuations = fleet_evacuations.EvacuationExchange(
             view=self.views[store_feed.ObjectKind.EVACUATIONS],
--- a/src/samphirelug/forwarding_settings.py
+++ b/src/samphirelug/forwarding_settings.py
@@ -36,6 +36,8 @@
     link_mbps: float
     # The platform ends a process that takes more.
     memory_bytes: int
+    # File descriptors that connections may take.
+    max_descriptors: int
 
 
 # Settings that take effect while the host runs; the others do so at its next
--- a/standins/forwarding.py
+++ b/standins/forwarding.py
@@ -26,6 +26,7 @@
     header_timeout_s=1.0,
     idle_timeout_s=5.0,
 )
+MAX_CONNECTIONS = 1000
 # Memory that the messages of all connections may take.
 MEMORY_BYTES = 64 * 1024 * 1024
 
--- a/standins/soak/servers.py
+++ b/standins/soak/servers.py
@@ -148,6 +148,7 @@
             timer=timer_helper.LoopTimerService(),
             memory=build.memory(),
             answer_memory=build.memory(),
+            max_connections=build.MAX_CONNECTIONS,
         )
 
     def start(self, host: str) -> None:
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -75,6 +75,7 @@
                 "CpuCores": 1,
                 "BandwidthMbps": 1000.0,
                 "MemoryMb": 300,
+                "MaxFds": 4100,
             },
             "Platform": {"Address": store_address},
         }
--- a/tests/components/http/test_endless_requests.py
+++ b/tests/components/http/test_endless_requests.py
@@ -72,6 +72,7 @@
         timer=timer,
         memory=build.memory(),
         answer_memory=build.memory(),
+        max_connections=build.MAX_CONNECTIONS,
     )
     listener.start_listening(host="127.0.0.1", port=0)
     caller = EndlessCaller(
--- a/tests/components/http/test_idle_memory.py
+++ b/tests/components/http/test_idle_memory.py
@@ -47,6 +47,7 @@
             timer=timer_helper.LoopTimerService(),
             memory=build.memory(),
             answer_memory=build.memory(),
+            max_connections=build.MAX_CONNECTIONS,
         )
         listener.start_listening(host="127.0.0.1", port=0)
         before, _ = tracemalloc.get_traced_memory()
--- a/tests/components/http/test_io_pipeline.py
+++ b/tests/components/http/test_io_pipeline.py
@@ -66,6 +66,7 @@
             timer=timer_helper.LoopTimerService(),
             memory=build.memory(),
             answer_memory=build.memory(),
+            max_connections=build.MAX_CONNECTIONS,
         )
         listener.start_listening(host="127.0.0.1", port=0)
         reader, writer = await asyncio.open_connection(
--- a/tests/components/http/test_request_memory.py
+++ b/tests/components/http/test_request_memory.py
@@ -78,6 +78,7 @@
             timer=timer_helper.LoopTimerService(),
             memory=memory,
             answer_memory=build.memory(),
+            max_connections=build.MAX_CONNECTIONS,
         )
         listener.start_listening(host="127.0.0.1", port=0)
         framing = (
@@ -136,6 +137,7 @@
             timer=timer_helper.LoopTimerService(),
             memory=memory,
             answer_memory=build.memory(),
+            max_connections=build.MAX_CONNECTIONS,
         )
         listener.start_listening(host="127.0.0.1", port=0)
         for _ in range(20):
@@ -166,6 +168,7 @@
             timer=timer_helper.LoopTimerService(),
             memory=memory,
             answer_memory=build.memory(),
+            max_connections=build.MAX_CONNECTIONS,
         )
         listener.start_listening(host="127.0.0.1", port=0)
         before, _ = tracemalloc.get_traced_memory()
@@ -210,6 +213,7 @@
             timer=timer_helper.LoopTimerService(),
             memory=held_memory.HeldMemory(limit_bytes=LIMIT_BYTES),
             answer_memory=build.memory(),
+            max_connections=build.MAX_CONNECTIONS,
         )
         listener.start_listening(host="127.0.0.1", port=0)
         reader, writer = await asyncio.open_connection(
--- a/tests/components/http/test_unread_answers.py
+++ b/tests/components/http/test_unread_answers.py
@@ -45,6 +45,7 @@
         timer=timer_helper.LoopTimerService(),
         memory=build.memory(),
         answer_memory=memory,
+        max_connections=build.MAX_CONNECTIONS,
     )
     listener.start_listening(host="127.0.0.1", port=0)
     return listener
--- a/tests/platform_adapter/test_settings.py
+++ b/tests/platform_adapter/test_settings.py
@@ -28,6 +28,7 @@
         "CpuCores": 2,
         "BandwidthMbps": 5.0,
         "MemoryMb": 300,
+        "MaxFds": 4100,
     },
     "Bounds": {
         "Drain": "2500ms",
@@ -51,7 +52,7 @@
     path.write_bytes(orjson.dumps(SETTINGS))
     host_settings = settings.read(path).unwrap()
     assert host_settings.drain_s == 2.5
-    assert host_settings.resources == (1.0, 5.0, 300_000_000)
+    assert host_settings.resources == (1.0, 5.0, 300_000_000, 3900)
     assert host_settings.store_url == "http://127.0.0.1:8142"
 
 
--- a/tests/test_forwarding_host.py
+++ b/tests/test_forwarding_host.py
@@ -39,7 +39,9 @@
     stop_grace_s=6.0,
     lookup_keep_s=5.0,
     drain_s=2.5,
-    resources=forwarding_settings.HostResources(1.0, 1000.0, 300_000_000),
+    resources=forwarding_settings.HostResources(
+        1.0, 1000.0, 300_000_000, 4000
+    ),
 )
 
 
