Serve configurations with teams, keys and upload routes

Teams were not decoded, a caller's key was passed on to servers, and no server learnt the team.

Change: upload is a route kind whose requests never run twice. The adapter decodes teams and puts digests in the place of keys before an object of the store is kept, relayed or logged; errors of a configuration name fields and no values. A request on a route that is not public needs the key of a team, else 401 CREDENTIAL_UNKNOWN. Servers get the name of the team and neither the key nor a caller's own team field. A team's priority goes before the route's, and the allowed regions of both bind.

Result: tests/platform_adapter/test_objects.py decodes teams and rejects configurations in which two teams share a key or a name, and 5 more that are malformed.

--- a/src/samphirelug/components/forwarding/const.py
+++ b/src/samphirelug/components/forwarding/const.py
@@ -20,6 +20,9 @@
 # Retry-After time once a stopping host cannot finish a request any more. Other
 # hosts can serve it at once.
 STOPPING_RETRY_AFTER_S = 0.05
+# Retry-After time of a team that shares no allowed region with the route. Only
+# a new configuration can change that.
+NO_REGION_RETRY_AFTER_S = 5.0
 # Maximum log lines per second for answered requests; lines beyond it are
 # counted.
 ANSWERED_LOG_LINES_PER_S = 50
--- a/src/samphirelug/components/forwarding/forwarder.py
+++ b/src/samphirelug/components/forwarding/forwarder.py
@@ -14,6 +14,7 @@
 from samphirelug.components.forwarding import request_log
 from samphirelug.components.forwarding import retry_window
 from samphirelug.components.placement import placer as placement_placer
+from samphirelug.components.routing import credentials
 from samphirelug.components.routing import model as routing_model
 from samphirelug.components.routing import split
 from samphirelug.components.routing import table
@@ -124,6 +125,21 @@
                 "no route matches the host name and path",
             )
         trace.route = route
+        authenticated = route_table.credentials.authenticate(
+            route, key_digest=request.key_digest
+        )
+        if isinstance(authenticated, Failure):
+            return authenticated
+        team = authenticated.unwrap()
+        trace.team = team.name if team else ""
+        team_route = credentials.apply_team(route, team)
+        if team_route is None:
+            return _refuse(
+                result_codes.ResultCode.NO_BACKEND_SERVER,
+                "route and team share no allowed region",
+                const.NO_REGION_RETRY_AFTER_S,
+            )
+        route = team_route
         deadline_at_s = request.received_at_s + min(
             route.timeout_s, const.MAX_REQUEST_S
         )
@@ -200,6 +216,7 @@
                     deadline_at_s,
                     route.idempotent,
                     is_repeat,
+                    trace.team,
                 ),
                 candidate,
                 service,
--- a/src/samphirelug/components/forwarding/model.py
+++ b/src/samphirelug/components/forwarding/model.py
@@ -27,6 +27,8 @@
     received_at_s: float
     # On the entry host's monotonic clock; None if the caller sent none.
     deadline_at_s: float | None
+    # Digest of the key of a team; None without a key, empty if it is unusable.
+    key_digest: str | None = None
 
     @property
     def path(self) -> str:
@@ -45,6 +47,8 @@
     # Whether this request was sent to the same server before. A second answer
     # to that attempt may arrive on any connection that has carried it.
     is_repeat: bool = False
+    # Name of the team that the request is from; empty if there is none.
+    team: str = ""
 
 
 class AttemptAnswer(NamedTuple):
--- a/src/samphirelug/components/forwarding/request_log.py
+++ b/src/samphirelug/components/forwarding/request_log.py
@@ -73,6 +73,8 @@
         # Age of what this host knew of the servers; infinite if unknown.
         self.view_age_s = view_age_s
         self.route: routing_model.Route | None = None
+        # Name of the request's team; empty if it has none.
+        self.team = ""
         self.service = ""
         self.attempts: list[AttemptRecord] = []
 
@@ -89,6 +91,7 @@
         return {
             "request_id": self.request.request_id[:128],
             "route": self.route.name if self.route else "",
+            "team": self.team[:64],
             "object": self.request.affinity_key[:64],
             "service": self.service,
             "version": self.version,
--- a/src/samphirelug/components/http/handler.py
+++ b/src/samphirelug/components/http/handler.py
@@ -12,6 +12,7 @@
 from samphirelug.components.http import io_pipeline
 from samphirelug.components.http import model
 from samphirelug.components.http import request_parser
+from samphirelug.helpers import credentials
 from samphirelug import result_codes
 
 _LOGGER = logging.getLogger(__name__)
@@ -102,8 +103,19 @@
             affinity_key=self._affinity_key(message),
             received_at_s=message.received_at_s,
             deadline_at_s=deadline_at_s,
+            key_digest=self._key_digest(message),
         )
 
+    def _key_digest(self, message: request_parser.CallerMessage) -> str | None:
+        keys = [
+            value
+            for name, value in message.headers
+            if name.lower() == self.names.credential
+        ]
+        if not keys:
+            return None
+        return credentials.digest(keys[0]) if len(keys) == 1 else ""
+
     def _affinity_key(self, message: request_parser.CallerMessage) -> str:
         header = message.get("cookie")
         if header is None:
--- a/src/samphirelug/components/http/io_pool.py
+++ b/src/samphirelug/components/http/io_pool.py
@@ -68,6 +68,8 @@
                 "expect",
                 names.deadline_ms,
                 names.expected_instance,
+                names.credential,
+                names.team,
             )
         )
 
@@ -408,6 +410,8 @@
         lines.append(
             f"{self.names.expected_instance}: {attempt.server.instance_id}"
         )
+        if attempt.team:
+            lines.append(f"{self.names.team}: {attempt.team}")
         if request.body or request.method in BODY_METHODS:
             lines.append(f"Content-Length: {len(request.body)}")
         head = "\r\n".join(lines) + "\r\n\r\n"
--- a/src/samphirelug/components/http/model.py
+++ b/src/samphirelug/components/http/model.py
@@ -28,6 +28,10 @@
     server_leaving: str
     # Requests per second that a server in need takes from all entry hosts.
     server_limit: str
+    # Key of the team that a request is from; no server gets it.
+    credential: str
+    # Name of the team that a request is from, for the server.
+    team: str
 
 
 class Response(NamedTuple):
--- a/src/samphirelug/components/routing/model.py
+++ b/src/samphirelug/components/routing/model.py
@@ -1,6 +1,7 @@
 """Define the configuration by which requests are routed to services."""
 
 from collections.abc import Mapping
+import enum
 from typing import NamedTuple
 
 
@@ -11,6 +12,16 @@
     weight: float
 
 
+class RouteKind(enum.StrEnum):
+    """Represent how often a request may run, and how large it is."""
+
+    # May run more than once.
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    # Has a large body, and must not run twice.
+    UPLOAD = "upload"
+
+
 class Route(NamedTuple):
     """Describe how requests for a host name and path prefix are handled."""
 
@@ -18,7 +29,7 @@
     hostname: str
     # The prefix begins and ends with a slash.
     path_prefix: str
-    idempotent: bool
+    kind: RouteKind
     # A response is fully useful to the caller up to this latency.
     target_latency_s: float
     # 0 is the highest priority.
@@ -32,6 +43,13 @@
     max_attempts: int
     # Empty allows every region.
     allowed_regions: frozenset[str]
+    # Whether requests need no key of a team.
+    is_public: bool = False
+
+    @property
+    def idempotent(self) -> bool:
+        """Return whether a request may run more than once."""
+        return self.kind is RouteKind.SAFE
 
     @property
     def key(self) -> str:
@@ -50,6 +68,22 @@
     cold_requests_per_s: float
 
 
+class Team(NamedTuple):
+    """Describe the callers that share keys and a limit."""
+
+    name: str
+    # Digests of the keys, see helpers/credentials.py.
+    key_digests: frozenset[str]
+    # Takes precedence over a route's priority; None if there is none.
+    priority: int | None = None
+    # Empty allows every region.
+    allowed_regions: frozenset[str] = frozenset()
+    # Requests per second on all entry hosts; 0 is no limit.
+    requests_per_s: float = 0.0
+    # Requests beyond that rate which a team may save up.
+    burst: float = 0.0
+
+
 class CallerLimits(NamedTuple):
     """Limit the size and the duration of what a caller sends."""
 
@@ -66,3 +100,5 @@
     routes: tuple[Route, ...]
     services: Mapping[str, Service]
     limits: CallerLimits
+    # Requests need a key if there are teams.
+    teams: tuple[Team, ...] = ()
--- a/src/samphirelug/components/routing/table.py
+++ b/src/samphirelug/components/routing/table.py
@@ -2,6 +2,7 @@
 
 import logging
 
+from samphirelug.components.routing import credentials
 from samphirelug.components.routing import model
 
 _LOGGER = logging.getLogger(__name__)
@@ -12,6 +13,9 @@
 
     def __init__(self, *, configuration: model.Configuration) -> None:
         self.configuration = configuration
+        self.credentials = credentials.CredentialIndex(
+            teams=configuration.teams
+        )
         self.by_hostname: dict[str, list[model.Route]] = {}
         for route in configuration.routes:
             self.by_hostname.setdefault(route.hostname.lower(), []).append(
@@ -69,6 +73,7 @@
                 "version": configuration.version,
                 "previous_version": previous_version,
                 "routes": len(configuration.routes),
+                "teams": len(configuration.teams),
                 "source": source,
             },
         )
--- a/src/samphirelug/result_codes.py
+++ b/src/samphirelug/result_codes.py
@@ -30,6 +30,7 @@
     UNKNOWN_PATH = 1009
     DEADLINE_INVALID = 1010
     TOKEN_REVOKED = 1011
+    CREDENTIAL_UNKNOWN = 1012
 
     OVERLOADED = 1101
     DEADLINE_UNREACHABLE = 1102
@@ -102,6 +103,7 @@
 
 _HTTP_STATUS = {
     ResultCode.OK: 200,
+    ResultCode.CREDENTIAL_UNKNOWN: 401,
     ResultCode.MALFORMED_REQUEST: 400,
     ResultCode.UNKNOWN_WORK: 404,
     ResultCode.TOKEN_MISSING: 428,
--- a/standins/forwarding.py
+++ b/standins/forwarding.py
@@ -19,6 +19,8 @@
     cold_ms="x-cold-ms",
     server_leaving="x-leaving",
     server_limit="x-limit",
+    credential="x-credential",
+    team="x-team",
 )
 LIMITS = routing_model.CallerLimits(
     max_header_bytes=1000,
@@ -40,7 +42,7 @@
     *,
     name: str = "status",
     path_prefix: str = "/status/",
-    idempotent: bool = True,
+    kind: routing_model.RouteKind = routing_model.RouteKind.SAFE,
     destinations: tuple[tuple[str, float], ...] = (("desk", 1.0),),
     timeout_s: float = 1.0,
     max_attempts: int = 2,
@@ -52,7 +54,7 @@
         name=name,
         hostname=HOSTNAME,
         path_prefix=path_prefix,
-        idempotent=idempotent,
+        kind=kind,
         target_latency_s=0.4,
         priority=priority,
         has_affinity=True,
@@ -128,6 +130,7 @@
     body: bytes = b"",
     received_at_s: float = 0.0,
     deadline_at_s: float | None = None,
+    key_digest: str | None = None,
 ) -> forwarding_model.ReceivedRequest:
     """Return a completely received request of a caller."""
     return forwarding_model.ReceivedRequest(
@@ -140,4 +143,5 @@
         affinity_key=affinity_key,
         received_at_s=received_at_s,
         deadline_at_s=deadline_at_s,
+        key_digest=key_digest,
     )
--- a/tests/components/forwarding/test_forwarder.py
+++ b/tests/components/forwarding/test_forwarder.py
@@ -15,6 +15,7 @@
 from samphirelug.components.metrics import forwarding as forwarding_metrics
 from samphirelug.components.placement import load
 from samphirelug.components.placement import placer
+from samphirelug.components.routing import model as routing_model
 from samphirelug.components.routing import table
 from samphirelug import core
 from samphirelug.helpers import timer as timer_helper
@@ -78,7 +79,7 @@
                     build.route(
                         name="filing",
                         path_prefix="/filing/",
-                        idempotent=False,
+                        kind=routing_model.RouteKind.UNSAFE,
                     ),
                     version=version,
                 ),
--- a/tests/components/placement/test_replay.py
+++ b/tests/components/placement/test_replay.py
@@ -12,6 +12,7 @@
 from samphirelug.components.placement import const
 from samphirelug.components.placement import placer
 from samphirelug.components.placement import ranking
+from samphirelug.components.routing import model as routing_model
 from standins import forwarding as build
 from standins.simulation import placement as replay
 
@@ -24,7 +25,10 @@
 )
 SUBMIT = replay.RequestKind(
     build.route(
-        name="submit", path_prefix="/submit/", idempotent=False, priority=1
+        name="submit",
+        path_prefix="/submit/",
+        kind=routing_model.RouteKind.UNSAFE,
+        priority=1,
     ),
     30.0,
     0.84,
--- a/tests/platform_adapter/test_objects.py
+++ b/tests/platform_adapter/test_objects.py
@@ -8,6 +8,7 @@
 import pytest
 from returns.result import Failure
 
+from samphirelug.components.routing import model as routing_model
 from samphirelug.components.store import model as store_model
 from samphirelug import result_codes
 from samphirelug_platform import durations
@@ -34,13 +35,25 @@
         "HeaderTimeout": "3000ms",
         "IdleTimeout": "15s",
     },
+    "Tenants": [
+        {
+            "Name": "large",
+            "ApiKeys": ["d1"],
+            "Priority": 1,
+            "RatePerS": 40,
+            "Burst": 80,
+            "AllowedRegions": ["a"],
+        },
+        {"Name": "small", "ApiKeys": ["d2"], "Burst": None},
+    ],
     "Listeners": [
         {
             "Hostname": "portal.example",
             "Rules": [
                 {
                     "Name": "r-1",
-                    "Type": "unsafe",
+                    "Type": "upload",
+                    "Public": True,
                     "TargetLatency": "600ms",
                     "Priority": 1,
                     "SessionAffinity": True,
@@ -137,7 +150,15 @@
     assert decoded.version == 12
     assert decoded.limits.idle_timeout_s == 15.0
     filing, status = decoded.routes
+    assert filing.kind is routing_model.RouteKind.UPLOAD
     assert not filing.idempotent
+    assert filing.is_public
+    assert not status.is_public
+    large, small = decoded.teams
+    assert large == routing_model.Team(
+        "large", frozenset(("d1",)), 1, frozenset(("a",)), 40, 80
+    )
+    assert small == routing_model.Team("small", frozenset(("d2",)))
     assert filing.allowed_regions == {"a"}
     assert filing.timeout_s == 1.2
     assert status.idempotent
@@ -158,6 +179,13 @@
         ("Listeners.0.Rules.0.Action.Service", "unknown"),
         ("Listeners.0.Rules.0.Action.Timeout", "soon"),
         ("Listeners.0.Rules.1.Action.TrafficSplit.0.Weight", None),
+        ("Tenants", {}),
+        ("Tenants.0.Name", "two\r\nlines"),
+        ("Tenants.0.ApiKeys", ["d1", None]),
+        ("Tenants.0.ApiKeys", ["d2"]),
+        ("Tenants.0.Name", "small"),
+        ("Tenants.0.RatePerS", -1),
+        ("Tenants.0.Burst", "many"),
     ],
 )
 def test_malformed_configuration_is_rejected(path: str, value: object) -> None:
