Let the placer know the team of a request

Cause: how full a server may be for a request is to depend on its team and priority, but the placer did not learn the team.

Change: Placer.choose takes the team; _full_ratio returns the constant for now.

Result: placement is as before.

--- a/src/samphirelug/components/forwarding/forwarder.py
+++ b/src/samphirelug/components/forwarding/forwarder.py
@@ -191,6 +191,7 @@
                 object_key=object_key,
                 tried=tried,
                 now=now,
+                team=trace.team,
             )
             if isinstance(placement, Failure):
                 return _final_result(summary, placement.failure())
--- a/src/samphirelug/components/placement/placer.py
+++ b/src/samphirelug/components/placement/placer.py
@@ -92,8 +92,13 @@
         object_key: str,
         tried: Collection[str],
         now: float,
+        team: str = "",
     ) -> Result[Candidate, result_codes.Refusal]:
-        """Return a server among the object's first ones that is not full."""
+        """Return a server among the object's first ones that is not full.
+
+        The team is empty if the request has none.
+        """
+        full_ratio = self._full_ratio(route, service, team=team, now=now)
         ordered_servers = self.ranking.order(
             object_key=object_key,
             service=service.name,
@@ -117,7 +122,7 @@
                 server.incarnation, now=now, hosts=self.sharing_hosts()
             ):
                 continue
-            ratio = const.SPILL_RATIO if full_candidates else const.FULL_RATIO
+            ratio = const.SPILL_RATIO if full_candidates else full_ratio
             candidate = Candidate(
                 server,
                 choice,
@@ -136,6 +141,18 @@
             )
         return Failure(self._refuse_unusable(ordered_servers, now=now))
 
+    def _full_ratio(
+        self,
+        route: routing_model.Route,
+        service: routing_model.Service,
+        *,
+        team: str,
+        now: float,
+    ) -> float:
+        """Return the requests per slot from which a server is full."""
+        del route, service, team, now
+        return const.FULL_RATIO
+
     def _cold_for_s(
         self,
         server: fleet_model.ServerInstance,
