Keep keys out of frames, logs and servers in every spelling

The handler passes on neither the key nor the team field, in any spelling. Trailer fields are counted and ignored; several Host fields are 400; such a path is not public. Bytes of keys are compared. A refused configuration is an error line that says whether one is in force. test_objects.py now uses digests of full length, as others are refused.

--- a/src/samphirelug/components/fleet/consumers.py
+++ b/src/samphirelug/components/fleet/consumers.py
@@ -47,7 +47,18 @@
         """Apply a new or changed object."""
         decoded = self.decoder.configuration(stored)
         if isinstance(decoded, Failure):
-            _log_malformed(stored, decoded.failure().detail)
+            _LOGGER.error(
+                "configuration refused; keeping the one in force"
+                if self.state.version
+                else "configuration refused and none is in force, so that this"
+                " host is not ready",
+                extra={
+                    "object": stored.key,
+                    "revision": stored.revision,
+                    "version_in_force": self.state.version,
+                    "detail": decoded.failure().detail,
+                },
+            )
             return
         self.state.apply(
             decoded.unwrap(), now=self.timer.monotonic(), source=SOURCE
--- a/src/samphirelug/components/forwarding/forwarder.py
+++ b/src/samphirelug/components/forwarding/forwarder.py
@@ -126,7 +126,7 @@
             )
         trace.route = route
         authenticated = route_table.credentials.authenticate(
-            route, key_digest=request.key_digest
+            route, path=request.path, key_digest=request.key_digest
         )
         if isinstance(authenticated, Failure):
             return authenticated
--- a/src/samphirelug/components/http/handler.py
+++ b/src/samphirelug/components/http/handler.py
@@ -13,6 +13,7 @@
 from samphirelug.components.http import model
 from samphirelug.components.http import request_parser
 from samphirelug.helpers import credentials
+from samphirelug.helpers import http_fields
 from samphirelug import result_codes
 
 _LOGGER = logging.getLogger(__name__)
@@ -32,6 +33,8 @@
     ) -> None:
         self.forwarder = forwarder
         self.names = names
+        # Only the digest of the key is passed on, and the team is set anew.
+        self.removed_fields = frozenset((names.credential, names.team))
 
     def may_run_concurrently(
         self, message: request_parser.CallerMessage
@@ -56,7 +59,8 @@
         if request is None:
             refusal = result_codes.Refusal(
                 result_codes.ResultCode.MALFORMED_REQUEST,
-                "the request has no ID or host name, or a malformed deadline",
+                "the request has no ID, not one host name, or a malformed"
+                " deadline",
             )
             return self._render_refusal(refusal, "")
         try:
@@ -85,6 +89,9 @@
     ) -> forwarding_model.ReceivedRequest | None:
         request_id = message.get(self.names.request_id)
         hostname = _hostname(message)
+        # A server might take another host name than this process.
+        if len(message.get_all("host")) > 1:
+            return None
         if not request_id or not hostname:
             return None
         deadline_ms = message.get(self.names.deadline_ms)
@@ -98,7 +105,9 @@
             method=message.method,
             target=message.target,
             hostname=hostname,
-            headers=message.headers,
+            headers=http_fields.without_spellings(
+                message.headers, names=self.removed_fields
+            ),
             body=message.body,
             affinity_key=self._affinity_key(message),
             received_at_s=message.received_at_s,
@@ -107,14 +116,13 @@
         )
 
     def _key_digest(self, message: request_parser.CallerMessage) -> str | None:
-        keys = [
-            value
-            for name, value in message.headers
-            if name.lower() == self.names.credential
-        ]
+        keys = message.get_all(self.names.credential)
         if not keys:
             return None
-        return credentials.digest(keys[0]) if len(keys) == 1 else ""
+        if len(keys) > 1:
+            return ""
+        # The parser leaves white space behind a value.
+        return credentials.digest(keys[0].strip(" \t").encode("latin-1"))
 
     def _affinity_key(self, message: request_parser.CallerMessage) -> str:
         header = message.get("cookie")
--- a/src/samphirelug/components/http/request_parser.py
+++ b/src/samphirelug/components/http/request_parser.py
@@ -28,6 +28,14 @@
                 return value
         return None
 
+    def get_all(self, name: str) -> list[str]:
+        """Return a header field's values, by its lower-case name."""
+        return [
+            value
+            for field_name, value in self.headers
+            if field_name.lower() == name
+        ]
+
 
 class RequestError(Exception):
     """Reject a request with the HTTP status to answer."""
@@ -108,6 +116,7 @@
     def _reset(self) -> None:
         self.target = b""
         self.headers: list[tuple[str, str]] = []
+        self.has_all_headers = False
         self.header_bytes = 0
         # Bytes of memory that the header fields take.
         self.field_bytes = 0
@@ -127,14 +136,21 @@
         self._count_header_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header field."""
+        """Add a header field, and ignore one behind the body.
+
+        Such a trailer field must not take the place of a header field, as its
+        sender may not be the one that wrote the head.
+        """
         self._count_header_bytes(len(name) + len(value) + 4)
+        if self.has_all_headers:
+            return
         field = (name.decode("latin-1"), value.decode("latin-1"))
         self.headers.append(field)
         self.field_bytes += body_buffer.field_size(field)
 
     def on_headers_complete(self) -> None:
         """Record whether the caller waits for "100 Continue"."""
+        self.has_all_headers = True
         self.expects_continue = any(
             name.lower() == "expect" and "100-continue" in value.lower()
             for name, value in self.headers
--- a/src/samphirelug/components/routing/credentials.py
+++ b/src/samphirelug/components/routing/credentials.py
@@ -1,5 +1,7 @@
 """Find the team of a request by the digest of its key."""
 
+import urllib.parse
+
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
@@ -19,8 +21,18 @@
             for key_digest in team.key_digests
         }
 
+    def needs_key(self, route: model.Route, *, path: str) -> bool:
+        """Return whether a request of a route is refused without a key.
+
+        A path with dot segments is not taken for a public one: a server that
+        resolves them may find the path of a route that is not public.
+        """
+        return self.required and not (
+            route.is_public and not _has_dot_segment(path)
+        )
+
     def authenticate(
-        self, route: model.Route, *, key_digest: str | None
+        self, route: model.Route, *, path: str, key_digest: str | None
     ) -> Result[model.Team | None, result_codes.Refusal]:
         """Return the team of a request, None if it needs none.
 
@@ -28,7 +40,7 @@
         unusable.
         """
         team = self.team_by_digest.get(key_digest) if key_digest else None
-        if team is not None or route.is_public or not self.required:
+        if team is not None or not self.needs_key(route, path=path):
             return Success(team)
         return Failure(
             result_codes.Refusal(
@@ -40,6 +52,16 @@
         )
 
 
+def _has_dot_segment(path: str) -> bool:
+    if "." not in path and "%" not in path:
+        return False
+    decoded = urllib.parse.unquote(path).replace("\\", "/")
+    return any(
+        segment.partition(";")[0] in (".", "..")
+        for segment in decoded.split("/")
+    )
+
+
 def apply_team(
     route: model.Route, team: model.Team | None
 ) -> model.Route | None:
--- a/src/samphirelug/helpers/credentials.py
+++ b/src/samphirelug/helpers/credentials.py
@@ -8,13 +8,15 @@
 
 DIGEST_BYTES = 16
 # A longer key is not known, so it is not worth its digest.
-MAX_KEY_LENGTH = 256
+MAX_KEY_BYTES = 256
 
 
-def digest(key: str) -> str:
-    """Return the digest of a key in hexadecimal; empty for an unusable key."""
-    if not key or len(key) > MAX_KEY_LENGTH:
+def digest(key: bytes) -> str:
+    """Return the digest of a key in hexadecimal; empty for an unusable key.
+
+    Bytes are compared, so that a key in another encoding than UTF-8 is not
+    the key of a configuration.
+    """
+    if not key or len(key) > MAX_KEY_BYTES:
         return ""
-    return hashlib.blake2b(
-        key.encode("utf-8", "surrogatepass"), digest_size=DIGEST_BYTES
-    ).hexdigest()
+    return hashlib.blake2b(key, digest_size=DIGEST_BYTES).hexdigest()
--- a/src/samphirelug/helpers/http_fields.py
+++ b/src/samphirelug/helpers/http_fields.py
@@ -18,6 +18,25 @@
 )
 
 
+# Characters of field names other than letters, digits and the hyphen. Servers
+# that pass fields on as variables replace them, most of them the underscore.
+_ODD_NAME_CHARACTERS = str.maketrans(dict.fromkeys("!#$%&'*+.^_`|~", "-"))
+
+
+def without_spellings(
+    fields: Iterable[tuple[str, str]], *, names: frozenset[str]
+) -> tuple[tuple[str, str], ...]:
+    """Return the fields without those that a server may read as named ones.
+
+    The names are in lower case.
+    """
+    return tuple(
+        field
+        for field in fields
+        if field[0].lower().translate(_ODD_NAME_CHARACTERS) not in names
+    )
+
+
 def end_to_end_fields(
     fields: Iterable[tuple[str, str]], *, dropped: frozenset[str]
 ) -> tuple[tuple[str, str], ...]:
--- /dev/null
+++ b/tests/components/forwarding/test_teams.py
@@ -0,0 +1,133 @@
+"""Test what the team of a request changes."""
+
+import pytest
+
+from samphirelug.components.backend import model as backend_model
+from samphirelug.components.forwarding import model
+from samphirelug.components.routing import credentials
+from samphirelug.components.routing import model as routing_model
+from samphirelug import core
+from samphirelug import result_codes
+from standins import forwarding as build
+from tests.components.forwarding import test_forwarder
+
+Code = result_codes.ResultCode
+Kind = backend_model.FailureKind
+REQUEST = build.request(key_digest="d1")
+
+
+def regions(*names: str) -> frozenset[str]:
+    """Return a set of regions."""
+    return frozenset(names)
+
+
+def make_harness(
+    *outcomes: Kind | int,
+    route_regions: frozenset[str] = frozenset(),
+    team_regions: frozenset[str] = frozenset(),
+    kind: routing_model.RouteKind = routing_model.RouteKind.SAFE,
+) -> test_forwarder.ForwarderHarness:
+    """Return a forwarder with a server in each of the regions a to c."""
+    harness = test_forwarder.ForwarderHarness(*outcomes)
+    registry = harness.forwarder.placer.registry
+    for number, region in enumerate("abc"):
+        server = build.server(f"s{number}", zone=region, region=region)
+        registry.put(server, source="test")
+    configuration = build.configuration(
+        build.route(allowed_regions=route_regions, kind=kind, max_attempts=3),
+        version=2,
+    )
+    team = routing_model.Team(
+        "kites", regions("d1"), allowed_regions=team_regions
+    )
+    harness.configuration.apply(
+        configuration._replace(teams=(team,)), now=0.0, source="test"
+    )
+    return harness
+
+
+@pytest.mark.parametrize(
+    ("route_regions", "team_regions", "expected"),
+    [
+        ("", "", "abc"),
+        ("ab", "", "ab"),
+        ("", "bc", "bc"),
+        ("ab", "bc", "b"),
+        ("c", "c", "c"),
+    ],
+)
+def test_request_goes_to_allowed_regions_only(
+    route_regions: str, team_regions: str, expected: str
+) -> None:
+    """Guard against a body in a region that team or route excludes."""
+    harness = make_harness(
+        *(Kind.NOT_SENT for _ in expected),
+        route_regions=regions(*route_regions),
+        team_regions=regions(*team_regions),
+    )
+    harness.run(REQUEST)
+    servers = {attempt.server for attempt in harness.sender.attempts}
+    assert {server.zone.region for server in servers} == set(expected)
+
+
+def test_no_common_region_is_refused_without_an_attempt() -> None:
+    """Guard against an empty set of regions that means every region."""
+    harness = make_harness(
+        route_regions=regions("a"), team_regions=regions("b")
+    )
+    refusal = harness.run(REQUEST)
+    assert isinstance(refusal, result_codes.Refusal)
+    assert refusal.code.http_status == 503
+    assert not harness.sender.attempts
+
+
+@pytest.mark.parametrize(("team_priority", "expected"), [(None, 3), (0, 0)])
+def test_priority_of_the_team_goes_first(
+    team_priority: int | None, expected: int
+) -> None:
+    """Guard against priority 0 of a team that is taken for none."""
+    team = routing_model.Team("kites", regions("d1"), priority=team_priority)
+    route = credentials.apply_team(build.route(priority=3), team)
+    assert route is not None
+    assert route.priority == expected
+
+
+def test_further_attempts_are_judged_like_the_first() -> None:
+    """Guard against a version that changes a request while it runs."""
+    harness = make_harness(Kind.RESET, 200, team_regions=regions("a", "b"))
+    send = harness.sender.send
+
+    async def change_and_send(attempt: model.Attempt) -> model.AttemptResult:
+        harness.configuration.apply(
+            build.configuration(build.route(), version=3),
+            now=0.0,
+            source="test",
+        )
+        return await send(attempt)
+
+    harness.sender.send = change_and_send  # type: ignore[method-assign]
+    assert isinstance(harness.run(REQUEST), core.Answer)
+    first, second = harness.sender.attempts
+    assert {first.server.zone.region, second.server.zone.region} == {"a", "b"}
+    assert first.team == second.team == "kites"
+
+
+@pytest.mark.parametrize("kind", [Kind.RESET, Kind.TIMEOUT, Kind.INCOMPLETE])
+def test_upload_that_may_have_been_read_is_never_sent_again(
+    kind: Kind,
+) -> None:
+    """Guard against an upload that runs twice."""
+    harness = make_harness(kind, 200, kind=routing_model.RouteKind.UPLOAD)
+    refusal = harness.run(REQUEST)
+    assert isinstance(refusal, result_codes.Refusal)
+    assert refusal.code.http_status in (502, 504)
+    assert len(harness.sender.attempts) == 1
+
+
+def test_unknown_key_makes_no_attempt() -> None:
+    """Guard against requests that run without the key of a team."""
+    for key_digest in (None, "", "d2"):
+        harness = make_harness(200)
+        refusal = harness.run(REQUEST._replace(key_digest=key_digest))
+        assert test_forwarder.refusal_code(refusal) is Code.CREDENTIAL_UNKNOWN
+        assert not harness.sender.attempts
--- a/tests/platform_adapter/test_objects.py
+++ b/tests/platform_adapter/test_objects.py
@@ -38,13 +38,13 @@
     "Tenants": [
         {
             "Name": "large",
-            "ApiKeys": ["d1"],
+            "ApiKeys": ["d1" * 16],
             "Priority": 1,
             "RatePerS": 40,
             "Burst": 80,
             "AllowedRegions": ["a"],
         },
-        {"Name": "small", "ApiKeys": ["d2"], "Burst": None},
+        {"Name": "small", "ApiKeys": ["d2" * 16], "Burst": None},
     ],
     "Listeners": [
         {
@@ -156,9 +156,9 @@
     assert not status.is_public
     large, small = decoded.teams
     assert large == routing_model.Team(
-        "large", frozenset(("d1",)), 1, frozenset(("a",)), 40, 80
+        "large", frozenset(("d1" * 16,)), 1, frozenset(("a",)), 40, 80
     )
-    assert small == routing_model.Team("small", frozenset(("d2",)))
+    assert small == routing_model.Team("small", frozenset(("d2" * 16,)))
     assert filing.allowed_regions == {"a"}
     assert filing.timeout_s == 1.2
     assert status.idempotent
@@ -181,8 +181,9 @@
         ("Listeners.0.Rules.1.Action.TrafficSplit.0.Weight", None),
         ("Tenants", {}),
         ("Tenants.0.Name", "two\r\nlines"),
-        ("Tenants.0.ApiKeys", ["d1", None]),
-        ("Tenants.0.ApiKeys", ["d2"]),
+        ("Tenants.0.ApiKeys", ["d1" * 16, None]),
+        ("Tenants.0.ApiKeys", ["a key that was not replaced"]),
+        ("Tenants.0.ApiKeys", ["d2" * 16]),
         ("Tenants.0.Name", "small"),
         ("Tenants.0.RatePerS", -1),
         ("Tenants.0.Burst", "many"),
