Refuse keys while the configuration is old, if the settings say so

Cause: a host that is out of touch accepts a removed key for as long as it is.

Change: StrictRevoke and Revoke of the settings' bounds become ForwardingSettings.revocation, which takes effect while the host runs. With StrictRevoke, a request that needs a key gets 503 CREDENTIALS_OUTDATED (1120) while the host's view is older than Revoke; its Retry-After, and that of a team without a common region, differ by request. The default is off, 5 s.

--- a/src/samphirelug/components/forwarding/const.py
+++ b/src/samphirelug/components/forwarding/const.py
@@ -23,6 +23,9 @@
 # Retry-After time of a team that shares no allowed region with the route. Only
 # a new configuration can change that.
 NO_REGION_RETRY_AFTER_S = 5.0
+# Retry-After time while keys may have been removed without this host knowing.
+# Hosts whose source is too old replace it within about this time.
+OUTDATED_RETRY_AFTER_S = 1.0
 # Maximum log lines per second for answered requests; lines beyond it are
 # counted.
 ANSWERED_LOG_LINES_PER_S = 50
--- a/src/samphirelug/components/forwarding/forwarder.py
+++ b/src/samphirelug/components/forwarding/forwarder.py
@@ -2,11 +2,13 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 from typing import NamedTuple
 
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
+import xxhash
 
 from samphirelug.components.backend import model as backend_model
 from samphirelug.components.forwarding import const
@@ -19,6 +21,7 @@
 from samphirelug.components.routing import split
 from samphirelug.components.routing import table
 from samphirelug import core
+from samphirelug.helpers import rendezvous
 from samphirelug.helpers import timer as timer_helper
 from samphirelug import result_codes
 
@@ -63,6 +66,7 @@
         log: request_log.RequestLog,
         host_count: Callable[[], int | None],
         view_age_s: Callable[[], float],
+        max_view_age_s: Callable[[], float] = lambda: math.inf,
     ) -> None:
         self.timer = timer
         self.configuration = configuration
@@ -71,8 +75,10 @@
         self.retries = retries
         self.log = log
         self.host_count = host_count
-        # Age of what this host knows of the servers, for the log.
+        # Age of what this host knows of servers and configuration.
         self.view_age_s = view_age_s
+        # Age beyond which requests that need a key are refused.
+        self.max_view_age_s = max_view_age_s
         self.split = split.WeightedSplit()
         # Time at which this host ends, on its monotonic clock; None while it
         # is not stopping.
@@ -125,6 +131,14 @@
                 "no route matches the host name and path",
             )
         trace.route = route
+        if trace.view_age_s > self.max_view_age_s() and (
+            route_table.credentials.needs_key(route, path=request.path)
+        ):
+            return _refuse(
+                result_codes.ResultCode.CREDENTIALS_OUTDATED,
+                "the key may have been removed without this host knowing",
+                _spread_s(const.OUTDATED_RETRY_AFTER_S, request),
+            )
         authenticated = route_table.credentials.authenticate(
             route, path=request.path, key_digest=request.key_digest
         )
@@ -137,7 +151,7 @@
             return _refuse(
                 result_codes.ResultCode.NO_BACKEND_SERVER,
                 "route and team share no allowed region",
-                const.NO_REGION_RETRY_AFTER_S,
+                _spread_s(const.NO_REGION_RETRY_AFTER_S, request),
             )
         route = team_route
         deadline_at_s = request.received_at_s + min(
@@ -285,6 +299,12 @@
     return request.request_id
 
 
+def _spread_s(retry_after_s: float, request: model.ReceivedRequest) -> float:
+    """Return up to twice a time, so that callers do not return together."""
+    digest = xxhash.xxh64_intdigest(request.request_id.encode())
+    return retry_after_s * (1.0 + digest * rendezvous.HASH_SCALE)
+
+
 def _add_failure(
     summary: _AttemptSummary, failure: backend_model.BackendFailure
 ) -> _AttemptSummary:
--- a/src/samphirelug/forwarding_host.py
+++ b/src/samphirelug/forwarding_host.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import logging
+import math
 import random
 import signal
 import uuid
@@ -187,6 +188,7 @@
             log=request_log.RequestLog(metrics=metrics),
             host_count=lambda: self.roster.count,
             view_age_s=lambda: self.coordinator.age_s(timer.monotonic()),
+            max_view_age_s=self._max_view_age_s,
         )
         self.listener = io_pipeline.CallerListener(
             handler=handler.ForwardingHandler(
@@ -435,6 +437,11 @@
             return io_pipeline.DEFAULT_LIMITS
         return configuration.limits
 
+    def _max_view_age_s(self) -> float:
+        """Return the age of the configuration up to which keys are known."""
+        strict, max_age_s = self.settings.revocation
+        return max_age_s if strict else math.inf
+
     def _build_views(
         self, decoder: fleet_decoder.ObjectDecoder
     ) -> dict[store_feed.ObjectKind, store_view.ObjectView]:
--- a/src/samphirelug/forwarding_settings.py
+++ b/src/samphirelug/forwarding_settings.py
@@ -28,6 +28,15 @@
     window_s: float
 
 
+class Revocation(NamedTuple):
+    """Limit for how long a removed key may still be accepted."""
+
+    # Whether requests that need a key are refused while what this host knows
+    # of the configuration is older than max_age_s.
+    strict: bool = False
+    max_age_s: float = 5.0
+
+
 class HostResources(NamedTuple):
     """Represent the capacity of the host that this process may use."""
 
@@ -42,7 +51,9 @@
 
 # Settings that take effect while the host runs; the others do so at its next
 # start.
-RELOADABLE = frozenset(("retries", "stop_grace_s", "lookup_keep_s", "drain_s"))
+RELOADABLE = frozenset(
+    ("retries", "stop_grace_s", "lookup_keep_s", "drain_s", "revocation")
+)
 
 
 class ForwardingSettings(NamedTuple):
@@ -71,3 +82,4 @@
     # Whether the whole system starts for the first time, so that the other
     # hosts are just starting too.
     first_start: bool = False
+    revocation: Revocation = Revocation()
--- a/tests/components/forwarding/test_teams.py
+++ b/tests/components/forwarding/test_teams.py
@@ -131,3 +131,35 @@
         refusal = harness.run(REQUEST._replace(key_digest=key_digest))
         assert test_forwarder.refusal_code(refusal) is Code.CREDENTIAL_UNKNOWN
         assert not harness.sender.attempts
+
+
+def test_old_view_accepts_no_keys_with_strict_revocation() -> None:
+    """Guard against a removed key that a host behind a partition accepts."""
+    harness = make_harness(200, 200)
+    harness.forwarder.max_view_age_s = lambda: 5.0
+    harness.view_age_s = 5.0
+    assert isinstance(harness.run(REQUEST), core.Answer)
+    for harness.view_age_s in (5.1, float("inf")):
+        retry_after_s = set()
+        for number in range(5):
+            refusal = harness.run(REQUEST._replace(request_id=f"r{number}"))
+            assert isinstance(refusal, result_codes.Refusal)
+            assert refusal.code is Code.CREDENTIALS_OUTDATED
+            assert refusal.code.http_status == 503
+            retry_after_s.add(refusal.retry_after_s)
+        assert len(retry_after_s) == 5
+    assert len(harness.sender.attempts) == 1
+    public = build.route()._replace(is_public=True)
+    harness.configuration.apply(
+        build.configuration(public, version=3)._replace(
+            teams=(routing_model.Team("kites", regions("d1")),)
+        ),
+        now=0.0,
+        source="test",
+    )
+    assert isinstance(harness.run(REQUEST), core.Answer)
+    harness.configuration.apply(
+        build.configuration(build.route(), version=4), now=0.0, source="test"
+    )
+    harness.sender.outcomes.append(200)
+    assert isinstance(harness.run(REQUEST), core.Answer)
--- a/tests/platform_adapter/test_settings.py
+++ b/tests/platform_adapter/test_settings.py
@@ -54,6 +54,16 @@
     assert host_settings.drain_s == 2.5
     assert host_settings.resources == (1.0, 5.0, 300_000_000, 3900)
     assert host_settings.store_url == "http://127.0.0.1:8142"
+    assert host_settings.revocation == (False, 5.0)
+
+
+def test_revocation_is_decoded(tmp_path: pathlib.Path) -> None:
+    """Guard against a host that accepts removed keys for longer."""
+    changed = copy.deepcopy(SETTINGS)
+    changed["Bounds"] |= {"StrictRevoke": True, "Revoke": "2500ms"}
+    path = tmp_path / "node.json"
+    path.write_bytes(orjson.dumps(changed))
+    assert settings.read(path).unwrap().revocation == (True, 2.5)
 
 
 @pytest.mark.parametrize("field", ["NodeName", "Bounds", "Limits", "Listen"])
--- a/tests/test_forwarding_host.py
+++ b/tests/test_forwarding_host.py
@@ -218,11 +218,13 @@
 
     async def main() -> None:
         host = make_host(OpenFeed(*Kind))
+        assert host.forwarder.max_view_age_s() == float("inf")
         changed = SETTINGS._replace(
             retries=forwarding_settings.RetryLimits(0.5, 9, 4.0),
             lookup_keep_s=1.0,
             stop_grace_s=3.0,
             drain_s=1.0,
+            revocation=forwarding_settings.Revocation(True, 3.0),
             store_url="http://127.0.0.1:7",
             zones={},
         )
@@ -234,7 +236,9 @@
             lookup_keep_s=1.0,
             stop_grace_s=3.0,
             drain_s=1.0,
+            revocation=changed.revocation,
         )
+        assert host.forwarder.max_view_age_s() == 3.0
         assert (host.retries.ratio, host.retries.window_s) == (0.5, 4.0)
         assert host.coordinator.stale_after_s < 1.0
         assert host.apply_settings(host.settings) == ([], [])
