Count requests by team and log rejected keys apart from other failures

Cause: nothing showed how much each team sends, and callers with unknown keys used up the log lines of other failures.

Change: samphirelug_team_requests_total by team and code, with at most 100 values of the label; names are escaped, which the formatter does not do. A rejected key has at most 10 lines a second of its own with the first 8 characters of the digest.

Result: with 200 rejected keys in one second 10 lines, and the line of another failure behind them is written; 301 teams give 100 label values.

--- a/src/samphirelug/components/forwarding/const.py
+++ b/src/samphirelug/components/forwarding/const.py
@@ -31,3 +31,9 @@
 ANSWERED_LOG_LINES_PER_S = 50
 # Maximum log lines per second for refused or failed requests.
 FAILED_LOG_LINES_PER_S = 100
+# Maximum log lines per second for requests without the key of a team. Callers
+# that guess keys must not take the lines of other failures.
+REJECTED_KEY_LOG_LINES_PER_S = 10
+# Length of the beginning of a key's digest in the log. It is long enough to
+# find the caller by, and too short to test guessed keys against.
+LOGGED_DIGEST_LENGTH = 8
--- a/src/samphirelug/components/forwarding/request_log.py
+++ b/src/samphirelug/components/forwarding/request_log.py
@@ -116,6 +116,10 @@
             lines_per_s=const.FAILED_LOG_LINES_PER_S
         )
 
+        self.rejected_key_limiter = log_rate.LogRateLimiter(
+            lines_per_s=const.REJECTED_KEY_LOG_LINES_PER_S
+        )
+
     def write(
         self,
         trace: RequestTrace,
@@ -135,11 +139,18 @@
         self._observe(trace, code.name.lower(), now)
         succeeded = status < 500 and code is result_codes.ResultCode.OK
         limiter = self.answered_limiter if succeeded else self.failed_limiter
+        is_key_rejected = code is result_codes.ResultCode.CREDENTIAL_UNKNOWN
+        if is_key_rejected:
+            limiter = self.rejected_key_limiter
         left_out = limiter.try_acquire(now)
         if left_out is None:
             return
         extra = trace.fields(now)
         extra.update(status=status, code=code.name, left_out=left_out)
+        if is_key_rejected:
+            extra["key_digest"] = (trace.request.key_digest or "")[
+                : const.LOGGED_DIGEST_LENGTH
+            ]
         if detail:
             extra["detail"] = detail
         if retry_after_s:
@@ -186,6 +197,8 @@
             code=code,
             seconds=now - trace.request.received_at_s,
         )
+        if trace.team:
+            self.metrics.count_team_request(team=trace.team, code=code)
         for record in trace.attempts[1:]:
             self.metrics.count_retry(record.outcome)
         for record in trace.attempts:
--- a/src/samphirelug/components/metrics/forwarding.py
+++ b/src/samphirelug/components/metrics/forwarding.py
@@ -6,6 +6,11 @@
 from samphirelug.components.metrics import registry
 
 
+# Values of the label team, of which one stands for all further teams.
+MAX_TEAM_LABELS = 100
+OTHER_TEAMS = "other"
+
+
 class ForwardingMetrics:
     """Hold the metrics of a forwarding entry host in one registry."""
 
@@ -26,6 +31,12 @@
             "Attempts at servers known to be cold, by service",
             registry=self.registry,
         )
+        self.team_requests = collectors.Counter(
+            "samphirelug_team_requests_total",
+            "Requests of teams by team and result code",
+            registry=self.registry,
+        )
+        self.labelled_teams: set[str] = set()
         self.latency = collectors.Histogram(
             "samphirelug_request_seconds",
             "Time from the whole request to its result by route and code",
@@ -58,6 +69,20 @@
         self.requests.inc(labels)
         self.latency.observe(labels, seconds)
 
+    def count_team_request(self, *, team: str, code: str) -> None:
+        """Count a finished request of a team.
+
+        The first teams that send requests have a label of their own.
+        """
+        if team not in self.labelled_teams:
+            if len(self.labelled_teams) < MAX_TEAM_LABELS - 1:
+                self.labelled_teams.add(team)
+            else:
+                team = OTHER_TEAMS
+        # The formatter does not escape values.
+        label = team.replace("\\", "\\\\").replace('"', '\\"')
+        self.team_requests.inc({"team": label, "code": code})
+
     def count_retry(self, outcome: str) -> None:
         """Count a retry of a request."""
         self.retries.inc({"outcome": outcome})
--- a/tests/components/forwarding/test_teams.py
+++ b/tests/components/forwarding/test_teams.py
@@ -1,9 +1,13 @@
 """Test what the team of a request changes."""
 
+import logging
+
 import pytest
 
 from samphirelug.components.backend import model as backend_model
+from samphirelug.components.forwarding import const
 from samphirelug.components.forwarding import model
+from samphirelug.components.metrics import forwarding as forwarding_metrics
 from samphirelug.components.routing import credentials
 from samphirelug.components.routing import model as routing_model
 from samphirelug import core
@@ -163,3 +167,55 @@
     )
     harness.sender.outcomes.append(200)
     assert isinstance(harness.run(REQUEST), core.Answer)
+
+
+def test_rejected_keys_leave_few_lines_without_the_key(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guard against guessed keys that hide the lines of other failures."""
+    harness = make_harness(Kind.NOT_SENT, Kind.NOT_SENT, Kind.NOT_SENT)
+    digest = "0123456789abcdef" * 2
+    with caplog.at_level(logging.INFO):
+        for _ in range(200):
+            harness.run(REQUEST._replace(key_digest=digest))
+        harness.run(REQUEST)
+        harness.timer.advance(1.0)
+        harness.run(REQUEST._replace(key_digest=None))
+    *rejected, failed, keyless = (
+        record.__dict__
+        for record in caplog.records
+        if record.message == "request ended"
+    )
+    assert len(rejected) == const.REJECTED_KEY_LOG_LINES_PER_S
+    assert {line["key_digest"] for line in rejected} == {"01234567"}
+    assert failed["code"] == "BACKEND_UNREACHABLE"
+    assert (keyless["key_digest"], keyless["left_out"]) == ("", 190)
+    assert digest not in caplog.text
+
+
+def test_metrics_have_a_bounded_number_of_teams() -> None:
+    """Guard against metrics that grow with the teams of a deployment."""
+    metrics = forwarding_metrics.ForwardingMetrics()
+    names = [f"team-{number}" for number in range(300)]
+    for team in ['a"b\\c', *names, *names]:
+        metrics.count_team_request(team=team, code="ok")
+    lines = [
+        line
+        for line in metrics.render().decode().splitlines()
+        if line.startswith("samphirelug_team_requests_total{")
+    ]
+    assert len(lines) == 100
+    counter = 'samphirelug_team_requests_total{code="ok",team='
+    assert f'{counter}"other"}} 404' in lines
+    assert f'{counter}"team-97"}} 2' in lines
+    assert f'{counter}"a\\"b\\\\c"}} 1' in lines
+
+
+def test_requests_of_a_team_are_counted() -> None:
+    """Guard against a metric that only the tests of the metrics use."""
+    harness = make_harness(200)
+    harness.run(REQUEST)
+    harness.run(REQUEST._replace(key_digest="d2"))
+    rendered = harness.forwarder.log.metrics.render().decode()
+    assert rendered.count("samphirelug_team_requests_total{") == 1
+    assert 'team_requests_total{code="ok",team="kites"} 1' in rendered
