Tell which team holds a key, without showing the key

Cause: keys are nowhere in logs or output, so that operators could not find out whose key a caller uses, or since which version it is refused.

Change: samphirelug configuration team FILE [--against OTHER] reads a key from standard input or a prompt without echo, and names its team in one or two versions and what the later one does with it.

--- a/src/samphirelug/__main__.py
+++ b/src/samphirelug/__main__.py
@@ -5,6 +5,7 @@
 import typer
 
 from samphirelug.components.commands import catalogue
+from samphirelug.components.commands import configuration
 from samphirelug.components.commands import entry_host
 from samphirelug.components.commands import explain
 from samphirelug.components.commands import lookup
@@ -16,8 +17,11 @@
     help="Steer traffic across regions, driven by a catalogue.",
     no_args_is_help=True,
     add_completion=False,
+    # Variables may hold the key of a team.
+    pretty_exceptions_show_locals=False,
 )
 app.add_typer(catalogue.app, name="catalogue")
+app.add_typer(configuration.app, name="configuration")
 app.command(cls=settings.Command)(lookup.lookup)
 app.command(cls=settings.Command)(status.status)
 app.command(cls=settings.Command)(explain.explain)
