Let the soak send keys and uploads

Cause: the soak had no teams, so that nothing checked keys while hosts restart, are cut off or read unusable configurations.

Change: the callers send keys that are in force, removed, unknown or missing, with forged teams and keys in other spellings, on a route of each kind and a public one; keys are added and removed while callers are connected. Checks: no request without a known key reaches a server, a removed key ends and an added one works within ConfigApply (with faults within Revoke, as hosts are strict then), servers see no key and only the right team, no log has a key, no upload runs twice. Key changes have their own random numbers.

--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -14,6 +14,7 @@
 from standins.soak import callers
 from standins.soak import checks
 from standins.soak import faults
+from standins.soak import keys
 from standins.soak import world as soak_world
 
 CALLERS = 12
@@ -40,9 +41,19 @@
 ) -> Report:
     """Run one seed and return its report."""
     rng = random.Random(seed)
-    world = soak_world.World(folder=folder, rng=rng, hosts=hosts)
-    outcomes: list[callers.Outcome] = []
     loop = asyncio.get_running_loop()
+    # The schedule of the faults stays that of the seed.
+    key_rng = random.Random(f"keys-{seed}")
+    key_book = keys.KeyBook(rng=key_rng, clock=loop.time)
+    world = soak_world.World(
+        folder=folder,
+        rng=rng,
+        hosts=hosts,
+        keys=key_book,
+        # With faults, removed keys end in time only if hosts are strict.
+        strict_revoke=not planned_only,
+    )
+    outcomes: list[callers.Outcome] = []
     try:
         await world.start()
         start_s = loop.time()
@@ -55,14 +66,17 @@
                     name=f"c{number}",
                     lookup_addresses=lookup_addresses,
                     rng=random.Random(seed * 1000 + number),
+                    keys=key_book,
                     outcomes=outcomes,
                 ).run(start_s + seconds + RECOVERY_S)
             )
             for number in range(CALLERS)
         ]
+        key_changes = asyncio.ensure_future(faults.change_keys(world, key_rng))
         kinds = faults.PLANNED if planned_only else faults.FAULTS
         applied = await faults.run(world, seconds=seconds, kinds=kinds)
         await asyncio.gather(*caller_tasks)
+        key_changes.cancel()
     finally:
         exit_codes = await world.stop()
     planned_periods = (
@@ -71,9 +85,16 @@
     violations = checks.violations(
         outcomes,
         world.run_log,
+        key_book=key_book,
+        applied_within_s=checks.CONFIG_APPLY_S
+        if planned_only
+        else checks.REVOKE_S,
         planned_periods=planned_periods,
         check_drain=planned_only,
     )
+    violations.extend(
+        f"{name} logged a key" for name in world.hosts_with_logged_keys()
+    )
     statuses = collections.Counter(str(outcome.status) for outcome in outcomes)
     return Report(violations, applied, dict(statuses), exit_codes)
 
--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import random
 import signal
 
 from standins.soak import world as soak_world
@@ -165,6 +166,7 @@
     world.store.put(
         "config", "main", world.rng.choice([{"Version": "1"}, "cut sho"])
     )
+    world.keys.record(usable=False)
     await asyncio.sleep(duration_s)
     world.change_configuration()
     for number in range(len(malformed)):
@@ -177,6 +179,14 @@
     world.change_configuration()
 
 
+async def change_keys(world: soak_world.World, rng: random.Random) -> None:
+    """Add and remove keys until cancelled."""
+    while True:
+        await asyncio.sleep(rng.uniform(0.3, 1.0))
+        world.keys.change()
+        world.change_configuration()
+
+
 FAULTS: tuple[Fault, ...] = (
     terminate,
     kill,
--- a/standins/soak/servers.py
+++ b/standins/soak/servers.py
@@ -11,9 +11,11 @@
 from samphirelug.components.http import request_parser
 from samphirelug.helpers import timer as timer_helper
 from standins import forwarding as build
+from standins.soak import keys
 
 REQUEST_ID = "x-samphirelug-request-id"
 EXPECTED_INSTANCE = "x-samphirelug-expected-instance"
+TEAM = "x-samphirelug-tenant"
 
 
 class RunLog:
@@ -25,6 +27,24 @@
         # Requests that reached a server after its drain began: server,
         # request ID, seconds since then.
         self.late_arrivals: list[tuple[str, str, float]] = []
+        # Values of the team's field at each arrival, by request ID.
+        self.teams: dict[str, list[list[str]]] = {}
+        # Requests in which a server found a key.
+        self.with_key: list[str] = []
+
+    def record_arrival(
+        self, request_id: str, message: request_parser.CallerMessage
+    ) -> None:
+        """Record what a server reads of the team and the key."""
+        self.teams.setdefault(request_id, []).append(
+            [
+                value
+                for name, value in message.headers
+                if name.lower().replace("_", "-") == TEAM
+            ]
+        )
+        if keys.KEY_PREFIX in str(message.headers):
+            self.with_key.append(request_id)
 
 
 class WorkHandler(io_pipeline.RequestHandler):
@@ -73,6 +93,7 @@
     ) -> http_model.Response:
         """Run a request, or refuse it as not run."""
         request_id = message.get(REQUEST_ID) or ""
+        self.run_log.record_arrival(request_id, message)
         load = f"{self.running},0,{self.slots}"
         headers = [
             (REQUEST_ID, request_id),
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -12,6 +12,7 @@
 
 import orjson
 
+from standins.soak import keys as key_module
 from standins.soak import proxy
 from standins.soak import servers
 from standins.soak import store
@@ -38,7 +39,12 @@
     """Run one entry host as a process of its own."""
 
     def __init__(
-        self, *, number: int, folder: pathlib.Path, store_address: str
+        self,
+        *,
+        number: int,
+        folder: pathlib.Path,
+        store_address: str,
+        strict_revoke: bool = False,
     ) -> None:
         self.name = f"host-{number}"
         # The process ID keeps soaks that run at the same time from sharing
@@ -69,6 +75,8 @@
                 "RetryBudgetSlack": 60,
                 "BudgetWindow": "10s",
                 "ttl_max": "5s",
+                "StrictRevoke": strict_revoke,
+                "Revoke": "5s",
             },
             "Limits": {
                 "CpuShare": 1.0,
@@ -111,10 +119,18 @@
     """Run a store, backend servers and entry hosts for one soak."""
 
     def __init__(
-        self, *, folder: pathlib.Path, rng: random.Random, hosts: int
+        self,
+        *,
+        folder: pathlib.Path,
+        rng: random.Random,
+        hosts: int,
+        keys: key_module.KeyBook,
+        strict_revoke: bool,
     ) -> None:
         self.folder = folder
         self.rng = rng
+        self.keys = keys
+        self.strict_revoke = strict_revoke
         self.store = store.StoreState(rng=rng)
         self.run_log = servers.RunLog()
         self.servers: dict[str, servers.FakeServer] = {}
@@ -140,6 +156,7 @@
                 number=number,
                 folder=self.folder,
                 store_address=f"127.0.0.1:{store_proxy.port}",
+                strict_revoke=self.strict_revoke,
             )
             self.hosts.append(host)
             await host.start()
@@ -208,12 +225,18 @@
             {
                 "Name": name,
                 "Type": kind,
+                "Public": name == "page",
                 "TargetLatency": "400ms",
                 "SessionAffinity": True,
                 "Match": {"PathPrefix": f"/{name}/"},
                 "Action": action,
             }
-            for name, kind in (("status", "safe"), ("filing", "unsafe"))
+            for name, kind in (
+                ("status", "safe"),
+                ("page", "safe"),
+                ("filing", "unsafe"),
+                ("upload", "upload"),
+            )
         ]
         self.store.put(
             "config",
@@ -228,8 +251,22 @@
                 },
                 "Listeners": [{"Hostname": "portal.example", "Rules": rules}],
                 "Clusters": [{"Name": "desk", "ColdPerS": 5}],
+                "Tenants": [
+                    {"Name": team, "ApiKeys": list(team_keys)}
+                    for team, team_keys in self.keys.keys.items()
+                ],
             },
         )
+        self.keys.record()
+
+    def hosts_with_logged_keys(self) -> list[str]:
+        """Return the hosts in whose log a key stands."""
+        return [
+            host.name
+            for host in self.hosts
+            if key_module.KEY_PREFIX
+            in (self.folder / f"{host.name}.log").read_text("latin-1")
+        ]
 
     async def _wait_ready(self, host: HostProcess) -> None:
         for _ in range(round(READY_TIMEOUT_S / READY_POLL_S)):
