Explain requests with rejected keys

Cause: samphirelug explain showed neither the team nor the digest of a rejected key, and left out that a version of the configuration had been refused before.

A test of the whole host guards that an unusable version leaves a serving host ready.

--- a/src/samphirelug/components/commands/explain.py
+++ b/src/samphirelug/components/commands/explain.py
@@ -29,6 +29,9 @@
 HOST_MESSAGES = frozenset(
     (
         "configuration in force",
+        "configuration refused; keeping the one in force",
+        "configuration refused and none is in force, so that this host is not"
+        " ready",
         "entry host started",
         "entry host stops",
         "evacuated zones changed",
@@ -121,6 +124,12 @@
         f" {fields.get('version')} in force for"
         f" {fields.get('version_age_s')} s"
     )
+    if fields.get("team"):
+        report.append(f"  team {fields['team']}")
+    if fields.get("key_digest"):
+        report.append(
+            f"  digest of the key begins with {fields['key_digest']}"
+        )
     attempts = fields.get("attempts") or []
     if not attempts:
         report.append("  sent to no server")
--- a/tests/components/commands/test_explain.py
+++ b/tests/components/commands/test_explain.py
@@ -102,6 +102,34 @@
     assert "cold for 1200 ms, its rate shared by 8 hosts" in report
 
 
+def test_rejected_key_is_explained_by_its_digest_and_configuration() -> None:
+    """Guard against a caller whose keys seem unknown without a cause."""
+    log = list(
+        explain.parse(
+            [
+                log_line(
+                    1,
+                    "configuration refused; keeping the one in force",
+                    version_in_force=6,
+                ),
+                log_line(
+                    2,
+                    "request ended",
+                    request_id="r1",
+                    code="CREDENTIAL_UNKNOWN",
+                    status=401,
+                    key_digest="f9556db3",
+                ),
+                log_line(3, "request ended", request_id="r2", team="kites"),
+            ]
+        )
+    )
+    rejected = "\n".join(explain.describe_request(log, "r1", window_s=9.0))
+    assert "digest of the key begins with f9556db3" in rejected
+    assert "1.000 s before: configuration refused" in rejected
+    assert "  team kites" in explain.describe_request(log, "r2", window_s=9.0)
+
+
 def test_only_events_of_the_same_host_and_servers_are_reported() -> None:
     """Guard against causes that the host could not know of."""
     report = describe_request("r1")
--- a/tests/test_forwarding_host.py
+++ b/tests/test_forwarding_host.py
@@ -50,11 +50,18 @@
 
     def __init__(self, *, address: str = "127.0.0.1:9") -> None:
         self.address = address
+        self.is_refusing = False
 
     def configuration(
         self, stored: store_model.StoredObject
     ) -> Result[routing_model.Configuration, result_codes.Refusal]:
         """Return a configuration with one route."""
+        if self.is_refusing:
+            return Failure(
+                result_codes.Refusal(
+                    result_codes.ResultCode.CATALOGUE_INVALID, "scripted"
+                )
+            )
         del stored
         configuration = build.configuration(build.route())
         limits = configuration.limits._replace(header_timeout_s=3.0)
@@ -123,13 +130,15 @@
         return Success(None)
 
 
-def make_host(object_feed: feed.ObjectFeed) -> forwarding_host.ForwardingHost:
+def make_host(
+    object_feed: feed.ObjectFeed, decoder: Decoder | None = None
+) -> forwarding_host.ForwardingHost:
     """Return a host that is not started."""
     return forwarding_host.ForwardingHost(
         settings=SETTINGS,
         timer=timer_helper.LoopTimerService(),
         feed=object_feed,
-        decoder=Decoder(),
+        decoder=decoder or Decoder(),
         names=build.NAMES,
         metrics=forwarding_metrics.ForwardingMetrics(),
     )
@@ -164,6 +173,31 @@
     asyncio.run(main())
 
 
+def test_unusable_configuration_makes_only_a_starting_host_not_ready(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guard against an operator's mistake that takes all hosts away."""
+
+    async def main() -> None:
+        decoder = Decoder()
+        serving = make_host(OpenFeed(*Kind), decoder)
+        await follow(serving, 0.1)
+        decoder.is_refusing = True
+        changed = store_model.StoredObject("x", 2, {})
+        serving.views[Kind.CONFIGURATION].replace_all(
+            store_model.Listing(2, (changed,)), grace_s=0.0
+        )
+        assert serving.ready
+        assert serving.configuration.version == 1
+        assert "none is in force" not in caplog.text
+        starting = make_host(OpenFeed(*Kind), decoder)
+        await follow(starting, 0.1)
+        assert not starting.ready
+        assert "none is in force, so that this host is not" in caplog.text
+
+    asyncio.run(main())
+
+
 def test_unexpected_error_does_not_end_the_following_of_the_store() -> None:
     """Guard against a host that serves on without learning of changes."""
 
