--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -38,7 +38,13 @@
     """Run one entry host as a process of its own."""
 
     def __init__(
-        self, *, number: int, folder: pathlib.Path, store_address: str
+        self,
+        *,
+        number: int,
+        folder: pathlib.Path,
+        store_address: str,
+        memory_mb: int = 300,
+        max_descriptors: int = 4100,
     ) -> None:
         self.name = f"host-{number}"
         # The process ID keeps soaks that run at the same time from sharing
@@ -74,8 +80,8 @@
                 "CpuShare": 1.0,
                 "CpuCores": 1,
                 "BandwidthMbps": 1000.0,
-                "MemoryMb": 300,
-                "MaxFds": 4100,
+                "MemoryMb": memory_mb,
+                "MaxFds": max_descriptors,
             },
             "Platform": {"Address": store_address},
         }
@@ -111,10 +117,19 @@
     """Run a store, backend servers and entry hosts for one soak."""
 
     def __init__(
-        self, *, folder: pathlib.Path, rng: random.Random, hosts: int
+        self,
+        *,
+        folder: pathlib.Path,
+        rng: random.Random,
+        hosts: int,
+        memory_mb: int = 300,
+        max_descriptors: int = 4100,
     ) -> None:
         self.folder = folder
         self.rng = rng
+        # Limits in the settings of each entry host.
+        self.memory_mb = memory_mb
+        self.max_descriptors = max_descriptors
         self.store = store.StoreState(rng=rng)
         self.run_log = servers.RunLog()
         self.servers: dict[str, servers.FakeServer] = {}
@@ -140,6 +155,8 @@
                 number=number,
                 folder=self.folder,
                 store_address=f"127.0.0.1:{store_proxy.port}",
+                memory_mb=self.memory_mb,
+                max_descriptors=self.max_descriptors,
             )
             self.hosts.append(host)
             await host.start()
