Bound what an entry host holds for clients that nobody controls

Cause: the web server of readiness, look-ups, metrics and links read 64 KB from each connection and had no limit of connections. The listener of callers' requests started whatever a read of 64 KB held, which may be a thousand requests, and counted connections only once their tasks ran, so that its limit was exceeded by up to 128 connections at a time. A link accepted frames of 8 MB from anyone. The fields of an incomplete head took ten times their bytes.

Change: one account (http/connection_account.py) counts the connections, requests and answers of all listeners of a process; what they may take together follows the memory of the settings. Connections are limited by listener and by peer address. When a limit is reached, those that hold most and move least are closed first; one whose client waits for an answer is not. Readiness, look-ups and metrics are served by CallerListener in place of the web server, which stays for the websockets of other hosts, reads 4 KB at a time and gives up a head after 5 s. Heads are read 4 KB at a time, at most 16 requests are parsed ahead, and TCP_NOTSENT_LOWAT makes unread answers show after 64 KB. Fields stay undecoded until a head is complete. Followers' frames are limited to 16 KB. Log lines about rejected messages and pauses are limited to 5 per second. Metrics of connections, held bytes and closed connections by listener; one log line at the start and end of pressure.

--- a/src/samphirelug/components/following/const.py
+++ b/src/samphirelug/components/following/const.py
@@ -65,5 +65,7 @@
 HELLO_TIMEOUT_S = 3.0
 # Largest frame; a list of 20,000 backend servers fits.
 MAX_FRAME_BYTES = 8 * 1024 * 1024
+# Largest frame of a follower, which sends its revisions and names of servers.
+MAX_FOLLOWER_FRAME_BYTES = 16 * 1024
 # Maximum number of followers of one host.
 MAX_FOLLOWERS = 2_000
--- a/src/samphirelug/components/following/io_websockets.py
+++ b/src/samphirelug/components/following/io_websockets.py
@@ -16,7 +16,9 @@
 from samphirelug.components.following import coordinator as follow_coordinator
 from samphirelug.components.following import links
 from samphirelug.components.following import sessions
+from samphirelug.components.http import connection_account
 from samphirelug.components.http import io_endpoints
+from samphirelug.helpers import timer as timer_helper
 
 _LOGGER = logging.getLogger(__name__)
 PATH = "/following"
@@ -74,10 +76,13 @@
     """Serve one follower."""
 
     def initialize(
-        self, coordinator: follow_coordinator.FollowCoordinator
+        self,
+        coordinator: follow_coordinator.FollowCoordinator,
+        on_established: list[Callable[[iostream.IOStream], None]],
     ) -> None:
-        """Store the coordinator."""
+        """Store the coordinator, and what is called for a new follower."""
         self.coordinator = coordinator
+        self.on_established = on_established
         self.session: sessions.FollowerSession | None = None
 
     def open(self, *args: str, **kwargs: str) -> None:
@@ -93,8 +98,15 @@
 
     def on_message(self, message: str | bytes) -> None:
         """Pass a frame to the session."""
-        if self.session is not None and isinstance(message, bytes):
-            self.session.handle_frame(message)
+        if self.session is None or not isinstance(message, bytes):
+            return
+        is_new = not self.session.sent
+        self.session.handle_frame(message)
+        connection = self.ws_connection
+        stream = getattr(connection, "stream", None)
+        if is_new and self.session.sent and stream is not None:
+            for callback in self.on_established:
+                callback(stream)
 
     def on_close(self) -> None:
         """End the session."""
@@ -155,19 +167,32 @@
 
 
 def serve(
-    coordinator: follow_coordinator.FollowCoordinator, *, host: str, port: int
+    coordinator: follow_coordinator.FollowCoordinator,
+    *,
+    host: str,
+    port: int,
+    account: connection_account.ConnectionAccount | None = None,
+    timer: timer_helper.TimerService | None = None,
 ) -> httpserver.HTTPServer:
     """Accept followers on an address."""
+    on_established: list[Callable[[iostream.IOStream], None]] = []
+    options = {"coordinator": coordinator, "on_established": on_established}
     application = web.Application(
-        [(PATH, FollowHandler, {"coordinator": coordinator})],
-        websocket_max_message_size=const.MAX_FRAME_BYTES,
+        [(PATH, FollowHandler, options)],
+        websocket_max_message_size=const.MAX_FOLLOWER_FRAME_BYTES,
+        # Strangers could cause any number of access lines. The coordinator
+        # logs what happens to followers.
+        log_function=lambda _: None,
     )
-    return io_endpoints.listen(
+    server = io_endpoints.listen(
         application,
         host=host,
         port=port,
-        max_buffer_bytes=2 * const.MAX_FRAME_BYTES,
+        account=account,
+        timer=timer,
     )
+    on_established.append(server.mark_established)
+    return server
 
 
 def _is_writing(connection: websocket.WebSocketProtocol) -> bool:
--- a/src/samphirelug/components/http/io_accept.py
+++ b/src/samphirelug/components/http/io_accept.py
@@ -10,6 +10,7 @@
 from tornado import tcpserver
 
 from samphirelug.components.http import const
+from samphirelug.helpers import log_rate
 from samphirelug.helpers import timer as timer_helper
 
 _LOGGER = logging.getLogger(__name__)
@@ -33,6 +34,9 @@
         self.timer = timer
         self.resumption: timer_helper.Subscription | None = None
         self.paused_at_s: float | None = None
+        self.log_limiter = log_rate.LogRateLimiter(
+            lines_per_s=const.REJECTION_LOG_LINES_PER_S
+        )
 
     def start(self) -> None:
         """Accept connections on the running loop."""
@@ -63,9 +67,9 @@
             if self.paused_at_s is not None:
                 paused_s = self.timer.monotonic() - self.paused_at_s
                 self.paused_at_s = None
-                _LOGGER.warning(
+                self._log(
                     "accepting connections again",
-                    extra={"paused_s": round(paused_s, 3)},
+                    {"paused_s": round(paused_s, 3)},
                 )
             self.on_accepted(connection, address)
 
@@ -73,14 +77,22 @@
         now = self.timer.monotonic()
         if self.paused_at_s is None:
             self.paused_at_s = now
-            _LOGGER.warning(
-                "accepts no connections for now", extra={"detail": detail}
-            )
+            self._log("accepts no connections for now", {"detail": detail})
         asyncio.get_running_loop().remove_reader(self.sock)
         self.resumption = self.timer.call_at(
             when_s=now + const.ACCEPT_PAUSE_S, callback=self.start
         )
 
+    def _log(self, message: str, extra: dict[str, object]) -> None:
+        left_out = self.log_limiter.try_acquire(self.timer.monotonic())
+        if left_out is not None:
+            _LOGGER.warning(message, extra={**extra, "left_out": left_out})
+
+
+def peer_of(address: object) -> str:
+    """Return the address of the other end without its port."""
+    return str(address[0]) if isinstance(address, tuple) else ""
+
 
 class PausingServer(tcpserver.TCPServer):
     """Accept connections as long as there are descriptors for them."""
@@ -91,7 +103,7 @@
             acceptor = Acceptor(
                 sock=sock,
                 has_room=self.has_room,
-                on_accepted=self._handle_connection,
+                on_accepted=self._accept_or_close,
                 timer=timer_helper.LoopTimerService(),
             )
             acceptor.start()
@@ -101,3 +113,16 @@
     def has_room(self) -> bool:
         """Return whether a further connection may be accepted."""
         return True
+
+    def may_connect(self, peer: str) -> bool:
+        """Return whether an address may have a further connection."""
+        del peer
+        return True
+
+    def _accept_or_close(
+        self, connection: socket.socket, address: object
+    ) -> None:
+        if self.may_connect(peer_of(address)):
+            self._handle_connection(connection, address)
+        else:
+            connection.close()
--- a/src/samphirelug/components/http/io_pipeline.py
+++ b/src/samphirelug/components/http/io_pipeline.py
@@ -3,6 +3,7 @@
 import abc
 import asyncio
 import collections
+from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
 import functools
@@ -14,6 +15,7 @@
 from tornado import netutil
 
 from samphirelug.components.http import body_buffer
+from samphirelug.components.http import connection_account
 from samphirelug.components.http import const
 from samphirelug.components.http import held_memory
 from samphirelug.components.http import io_accept
@@ -22,6 +24,7 @@
 from samphirelug.components.http import request_parser
 from samphirelug.components.http import unread_answer
 from samphirelug.components.routing import model as routing_model
+from samphirelug.helpers import log_rate
 from samphirelug.helpers import timer as timer_helper
 
 _LOGGER = logging.getLogger(__name__)
@@ -74,14 +77,20 @@
         self.discarded = False
 
 
-class CallerConnection:
+class CallerConnection(connection_account.HeldConnection):
     """Serve the requests of one connection of a caller."""
 
     def __init__(
-        self, *, stream: iostream.IOStream, listener: "CallerListener"
+        self,
+        *,
+        stream: iostream.IOStream,
+        listener: "CallerListener",
+        peer: str,
     ) -> None:
         self.stream = stream
         self.listener = listener
+        self.listener_name = listener.name
+        self.peer = peer
         self.parser = request_parser.RequestParser(
             limits=listener.limits,
             timer=listener.timer,
@@ -90,10 +99,17 @@
         self.pending: collections.deque[PendingRequest] = collections.deque()
         # Set when there may be a response to write.
         self.writer_wakeup = asyncio.Event()
-        # Cleared while MAX_PIPELINED requests are pending.
+        # Cleared while as many requests are pending as may be.
         self.can_read = asyncio.Event()
         self.can_read.set()
-        self.idle_since_s = listener.timer.monotonic()
+        # Bytes that were read beyond these requests.
+        self.unparsed = b""
+        self.opened_at_s = listener.timer.monotonic()
+        self.idle_since_s = self.opened_at_s
+        # When the caller last completed a request, sent a part of one that
+        # counts, or read a part of a response; and what it sent since then.
+        self.progress_at_s = self.opened_at_s
+        self.progress_bytes = 0
         # When the caller last read a part of a response; None while none is
         # being written.
         self.read_at_s: float | None = None
@@ -114,6 +130,51 @@
             self._discard_pending()
             self.close()
 
+    @property
+    def overhead_bytes(self) -> int:
+        """Return the bytes that it takes besides its messages."""
+        return (
+            const.CONNECTION_BYTES
+            + const.PENDING_BYTES * len(self.pending)
+            + len(self.unparsed)
+            + self.parser.framing_bytes
+        )
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes that it takes with its messages."""
+        return (
+            self.overhead_bytes
+            + self.parser.held_bytes
+            + sum(
+                pending.size if pending.answer is None else pending.answer.size
+                for pending in self.pending
+            )
+        )
+
+    def stalled_s(self, now: float) -> float | None:
+        """Return for how long the caller has moved nothing.
+
+        None while it waits for an answer.
+        """
+        if self.read_at_s is not None:
+            return now - self.read_at_s
+        if self.pending:
+            return None
+        if self.parser.started_at_s is None and self._has_unread_bytes():
+            # A request has just arrived.
+            return 0.0
+        return now - self.progress_at_s
+
+    def close_for_room(self) -> None:
+        """Close at once; the listener counts it no longer."""
+        self.listener.connections.discard(self)
+        self.close()
+
+    def _record_progress(self) -> None:
+        self.progress_at_s = self.listener.timer.monotonic()
+        self.progress_bytes = 0
+
     def close(self) -> None:
         """Close at once; requests that have not started are dropped."""
         self.closing = True
@@ -122,7 +183,10 @@
     async def _read_requests(self) -> None:
         while True:
             await self.can_read.wait()
-            data = await self._read()
+            # Nothing more is read while requests wait that were read before.
+            data, self.unparsed = self.unparsed, b""
+            if not data:
+                data = await self._read()
             if self.closing or self.error_status is not None:
                 # Discard the data. Closing the socket with unread data would
                 # reset the connection, and the caller could lose the last
@@ -138,8 +202,13 @@
         Nothing here may outlive the call but what the parser and the pending
         requests hold: an idle connection would keep its last request.
         """
+        length = request_parser.length_of_requests(
+            data, max_requests=max(1, self._max_pending - len(self.pending))
+        )
+        self.unparsed = data[length:]
+        self.progress_bytes += length
         try:
-            self.parser.feed(data)
+            self.parser.feed(data[:length])
         except request_parser.RequestError as error:
             self.error_status = error.status
         has_completed = bool(self.parser.completed)
@@ -148,6 +217,9 @@
         for message, keep_alive in self.parser.completed:
             self._enqueue(message, keep_alive)
         self.parser.completed.clear()
+        if has_completed or self.progress_bytes >= const.PROGRESS_BYTES:
+            self._record_progress()
+        self.listener.account.update(self)
         self._send_continue()
         if self.error_status is not None:
             self.parser.discard()
@@ -155,16 +227,23 @@
             self.writer_wakeup.set()
         return has_completed
 
+    @property
+    def _max_pending(self) -> int:
+        """Return how many requests may be read ahead of their answers."""
+        return 1 if self.listener.account.is_over else const.MAX_PIPELINED
+
     async def _read(self) -> bytes:
-        data: bytes = await self.stream.read_bytes(
-            const.READ_CHUNK_BYTES, partial=True
+        size = (
+            const.READ_CHUNK_BYTES
+            if self.parser.has_head
+            else const.HEAD_CHUNK_BYTES
         )
+        self.stream.read_chunk_size = size
+        data: bytes = await self.stream.read_bytes(size, partial=True)
         return data
 
     def _refuse_for_memory(self, reason: held_memory.Reason) -> None:
-        _LOGGER.warning(
-            "not enough memory for a request", extra={"detail": reason}
-        )
+        self.listener.log_rejection("not enough memory for a request", reason)
         self.error_status = 503
         self.writer_wakeup.set()
 
@@ -191,7 +270,7 @@
         self.listener.memory.hold(pending.size)
         self.pending.append(pending)
         self._start_runnable()
-        if len(self.pending) >= const.MAX_PIPELINED:
+        if len(self.pending) >= self._max_pending:
             self.can_read.clear()
         self.writer_wakeup.set()
 
@@ -239,8 +318,8 @@
         )
 
     def _give_up_unread(self, reason: held_memory.Reason) -> None:
-        _LOGGER.warning(
-            "caller does not read its response", extra={"detail": reason}
+        self.listener.log_rejection(
+            "caller does not read its response", reason
         )
         self.close()
 
@@ -282,7 +361,8 @@
         assert first.task is not None
         response = await asyncio.shield(first.task)
         self.pending.popleft()
-        self.can_read.set()
+        if len(self.pending) < self._max_pending:
+            self.can_read.set()
         # While draining, close only after the last pending response, as the
         # caller would have to send the requests behind it again.
         close = not first.keep_alive or (
@@ -300,6 +380,8 @@
             )
         finally:
             self._release_answer(first)
+        self._record_progress()
+        self.listener.account.update(self)
         return close
 
     async def _write(
@@ -365,6 +447,7 @@
         """Return whether nothing is being received, handled or written."""
         return (
             not self.pending
+            and not self.unparsed
             and self.parser.started_at_s is None
             and not self.stream.writing()
             and not self._has_unread_bytes()
@@ -412,6 +495,10 @@
         memory: held_memory.HeldMemory,
         answer_memory: held_memory.HeldMemory,
         max_connections: int,
+        max_per_peer: int | None = None,
+        may_close_active: bool = False,
+        account: connection_account.ConnectionAccount | None = None,
+        name: str = "callers",
     ) -> None:
         super().__init__(max_buffer_size=2 * const.DEFAULT_BODY_BYTES)
         # The memory of the requests of all connections.
@@ -419,12 +506,30 @@
         # The memory of all answers, from the first bytes of a server until
         # callers have read them.
         self.answer_memory = answer_memory
-        # Further connections wait in the queue of the socket.
-        self.max_connections = max_connections
+        # The connections of this listener and others of the process. Further
+        # ones wait in the queue of the socket.
+        self.account = account or connection_account.ConnectionAccount(
+            limit_bytes=memory.limit_bytes + answer_memory.limit_bytes,
+            messages=(memory, answer_memory),
+        )
+        self.name = name
+        self.account.add_listener(
+            name,
+            connection_account.ListenerLimits(
+                max_connections=max_connections,
+                max_per_peer=(
+                    max_connections if max_per_peer is None else max_per_peer
+                ),
+                may_close_active=may_close_active,
+            ),
+        )
         self.handler = handler
         self.limits = limits
         self.timer = timer
         self.draining = False
+        self.log_limiter = log_rate.LogRateLimiter(
+            lines_per_s=const.REJECTION_LOG_LINES_PER_S
+        )
         self.port = 0
         self.sockets: list[socket.socket] = []
         self.connections: set[CallerConnection] = set()
@@ -444,7 +549,11 @@
 
     def has_room(self) -> bool:
         """Return whether a further connection may be accepted."""
-        return len(self.connections) < self.max_connections
+        return self.account.has_room(self.name, now=self.timer.monotonic())
+
+    def may_connect(self, peer: str) -> bool:
+        """Return whether an address may have a further connection."""
+        return self.account.admit(self.name, peer, now=self.timer.monotonic())
 
     def stop(self) -> None:
         """Stop listening; connections that the kernel has accepted stay.
@@ -459,18 +568,41 @@
                     self._handle_connection(*sock.accept())
         super().stop()
 
-    async def handle_stream(
+    def handle_stream(
         self, stream: iostream.IOStream, address: object
-    ) -> None:
-        """Serve an accepted connection."""
-        del address
+    ) -> Awaitable[None]:
+        """Count an accepted connection, and return the task that serves it.
+
+        Many are accepted before the tasks run.
+        """
         stream.set_nodelay(True)
-        connection = CallerConnection(stream=stream, listener=self)
+        with contextlib.suppress(OSError):
+            stream.socket.setsockopt(
+                socket.IPPROTO_TCP,
+                socket.TCP_NOTSENT_LOWAT,
+                const.UNSENT_BYTES,
+            )
+        connection = CallerConnection(
+            stream=stream, listener=self, peer=io_accept.peer_of(address)
+        )
         self.connections.add(connection)
+        self.account.add(connection)
+        return self._serve(connection)
+
+    async def _serve(self, connection: CallerConnection) -> None:
         try:
             await connection.serve()
         finally:
             self.connections.discard(connection)
+            self.account.remove(connection)
+
+    def log_rejection(self, message: str, reason: held_memory.Reason) -> None:
+        """Log what a connection lost for a limit, at a bounded rate."""
+        left_out = self.log_limiter.try_acquire(self.timer.monotonic())
+        if left_out is not None:
+            _LOGGER.warning(
+                message, extra={"detail": reason, "left_out": left_out}
+            )
 
     def detach(self, task: "asyncio.Task[model.Response]") -> None:
         """Let a request finish although its response cannot be sent."""
@@ -503,6 +635,7 @@
         now = self.timer.monotonic()
         for connection in list(self.connections):
             connection.check_timeouts(now=now)
+        self.account.check(now=now)
 
 
 def _error_response(status: int) -> model.Response:
--- a/src/samphirelug/components/http/request_parser.py
+++ b/src/samphirelug/components/http/request_parser.py
@@ -1,6 +1,9 @@
 """Parse the requests of a caller's connection."""
 
+import array
 from collections.abc import Callable
+import itertools
+import re
 from typing import NamedTuple
 
 import httptools
@@ -12,6 +15,21 @@
 from samphirelug.helpers import timer as timer_helper
 
 
+_LINE_END = re.compile(b"\n")
+
+
+def length_of_requests(data: bytes, *, max_requests: int) -> int:
+    """Return the length of a part that completes at most so many requests.
+
+    The first may have begun before. Each further one has at least two lines,
+    its request line and the empty one at its end.
+    """
+    max_lines = 2 * max_requests - 1
+    line_ends = _LINE_END.finditer(data)
+    last = next(itertools.islice(line_ends, max_lines - 1, None), None)
+    return len(data) if last is None else last.end()
+
+
 class CallerMessage(NamedTuple):
     """Hold one complete HTTP request."""
 
@@ -61,12 +79,19 @@
         self.started_at_s: float | None = None
         # Bytes received since the last part of a body or complete request.
         self.framing_bytes = 0
+        # Whether a body is being received.
+        self.has_head = False
         self._reset()
 
     @property
     def held_bytes(self) -> int:
         """Return the bytes of memory that the incomplete request takes."""
-        return self.field_bytes + self.buffer.held_bytes
+        return (
+            self.field_bytes
+            + len(self.raw_fields)
+            + self.raw_lengths.itemsize * len(self.raw_lengths)
+            + self.buffer.held_bytes
+        )
 
     def reject(self, reason: held_memory.Reason) -> None:
         """Discard the request, which has not run."""
@@ -84,7 +109,12 @@
         # The HTTP parser reports a field only when it is complete, so that
         # one without an end is not counted otherwise.
         if self.framing_bytes > (
-            self.limits().max_header_bytes + const.READ_CHUNK_BYTES
+            self.limits().max_header_bytes
+            + (
+                const.READ_CHUNK_BYTES
+                if self.has_head
+                else const.HEAD_CHUNK_BYTES
+            )
         ):
             raise RequestError(status=431)
 
@@ -108,11 +138,16 @@
     def _reset(self) -> None:
         self.target = b""
         self.headers: list[tuple[str, str]] = []
+        # Names and values of fields as received, with their lengths, until
+        # the head is complete: short fields take ten times more once decoded.
+        self.raw_fields = bytearray()
+        self.raw_lengths = array.array("I")
         self.header_bytes = 0
-        # Bytes of memory that the header fields take.
+        # Bytes of memory that the decoded header fields take.
         self.field_bytes = 0
         self.buffer = body_buffer.BodyBuffer()
         self.body_bytes = 0
+        self.has_head = False
 
     # Callbacks of httptools
 
@@ -129,12 +164,14 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header field."""
         self._count_header_bytes(len(name) + len(value) + 4)
-        field = (name.decode("latin-1"), value.decode("latin-1"))
-        self.headers.append(field)
-        self.field_bytes += body_buffer.field_size(field)
+        self.raw_fields += name
+        self.raw_fields += value
+        self.raw_lengths.extend((len(name), len(value)))
 
     def on_headers_complete(self) -> None:
         """Record whether the caller waits for "100 Continue"."""
+        self.has_head = True
+        self._decode_fields()
         self.expects_continue = any(
             name.lower() == "expect" and "100-continue" in value.lower()
             for name, value in self.headers
@@ -152,6 +189,8 @@
     def on_message_complete(self) -> None:
         """Add the complete request to the list."""
         self.framing_bytes = 0
+        # Fields behind a body count as well.
+        self._decode_fields()
         message = CallerMessage(
             method=self.parser.get_method().decode("latin-1"),
             target=self.target.decode("latin-1"),
@@ -165,6 +204,20 @@
         self.expects_continue = False
         self.started_at_s = None
 
+    def _decode_fields(self) -> None:
+        text = self.raw_fields.decode("latin-1")
+        start = 0
+        lengths = iter(self.raw_lengths)
+        for name_length, value_length in zip(lengths, lengths, strict=True):
+            middle = start + name_length
+            end = middle + value_length
+            field = (text[start:middle], text[middle:end])
+            self.headers.append(field)
+            self.field_bytes += body_buffer.field_size(field)
+            start = end
+        self.raw_fields = bytearray()
+        self.raw_lengths = array.array("I")
+
     def _count_header_bytes(self, size: int) -> None:
         self.header_bytes += size
         if self.header_bytes > self.limits().max_header_bytes:
--- a/src/samphirelug/components/metrics/forwarding.py
+++ b/src/samphirelug/components/metrics/forwarding.py
@@ -50,6 +50,22 @@
             registry=self.registry,
         )
 
+        self.connections = collectors.Gauge(
+            "samphirelug_connections",
+            "Open connections of clients by listener",
+            registry=self.registry,
+        )
+        self.held_bytes = collectors.Gauge(
+            "samphirelug_held_bytes",
+            "Estimated memory of connections and messages by listener",
+            registry=self.registry,
+        )
+        self.closed_connections = collectors.Counter(
+            "samphirelug_connections_closed_total",
+            "Connections closed or refused for room by listener",
+            registry=self.registry,
+        )
+
     def observe_request(
         self, *, route: str, code: str, seconds: float
     ) -> None:
@@ -78,6 +94,15 @@
         """Set the value of samphirelug_belief that has this name."""
         self.beliefs.set({"name": name}, value)
 
+    def set_held(
+        self, listener: str, *, connections: int, held_bytes: int, closed: int
+    ) -> None:
+        """Set what a listener holds, and how many it has closed for room."""
+        labels = {"listener": listener}
+        self.connections.set(labels, connections)
+        self.held_bytes.set(labels, held_bytes)
+        self.closed_connections.set(labels, closed)
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return text.TextFormatter().marshall(self.registry)
--- a/src/samphirelug/forwarding_host.py
+++ b/src/samphirelug/forwarding_host.py
@@ -3,13 +3,12 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Mapping
 import logging
 import random
 import signal
 import uuid
 
-from tornado import web
-
 from samphirelug.components.directory import answer as directory_answer
 from samphirelug.components.fleet import const as fleet_const
 from samphirelug.components.fleet import consumers
@@ -28,9 +27,11 @@
 from samphirelug.components.forwarding import forwarder
 from samphirelug.components.forwarding import request_log
 from samphirelug.components.forwarding import retry_window
+from samphirelug.components.http import connection_account
 from samphirelug.components.http import const as http_const
 from samphirelug.components.http import handler
 from samphirelug.components.http import held_memory
+from samphirelug.components.http import io_endpoints
 from samphirelug.components.http import io_pipeline
 from samphirelug.components.http import io_pool
 from samphirelug.components.http import model as http_model
@@ -119,13 +120,34 @@
         # Number of hosts that look-up answers list, as of a generation of the
         # roster.
         self.listed_hosts: tuple[int, int] = (-1, 0)
-        answer_memory = held_memory.HeldMemory(
-            limit_bytes=http_const.MAX_HELD_ANSWER_BYTES
+        resources = settings.resources
+        held_limit_bytes = connection_account.held_limit_bytes(
+            resources.memory_bytes
+        )
+        self.request_memory = held_memory.HeldMemory(
+            limit_bytes=min(
+                held_limit_bytes,
+                int(http_const.HELD_REQUESTS_SHARE * resources.memory_bytes),
+            )
+        )
+        self.answer_memory = held_memory.HeldMemory(
+            limit_bytes=min(held_limit_bytes, http_const.MAX_HELD_ANSWER_BYTES)
+        )
+        # What all listeners hold for their clients.
+        self.account = connection_account.ConnectionAccount(
+            limit_bytes=held_limit_bytes,
+            messages=(self.request_memory, self.answer_memory),
+        )
+        self.account.add_listener(
+            "link",
+            connection_account.share_limits(
+                resources.max_descriptors, http_const.LINK_DESCRIPTORS_SHARE
+            ),
         )
         self.sender = io_pool.PooledSender(
             timer=timer,
             names=names,
-            memory=answer_memory,
+            memory=self.answer_memory,
             may_be_sent=lambda server: (
                 self.registry.may_be_sent(server)
                 and not self.placer.is_held(server, now=timer.monotonic())
@@ -188,23 +210,13 @@
             host_count=lambda: self.roster.count,
             view_age_s=lambda: self.coordinator.age_s(timer.monotonic()),
         )
-        self.listener = io_pipeline.CallerListener(
+        self.listener = self._make_listener(
+            "callers",
             handler=handler.ForwardingHandler(
                 forwarder=self.forwarder, names=names
             ),
             limits=self._caller_limits,
-            timer=timer,
-            memory=held_memory.HeldMemory(
-                limit_bytes=int(
-                    http_const.HELD_REQUESTS_SHARE
-                    * settings.resources.memory_bytes
-                )
-            ),
-            answer_memory=answer_memory,
-            max_connections=int(
-                http_const.CALLER_DESCRIPTORS_SHARE
-                * settings.resources.max_descriptors
-            ),
+            share=http_const.CALLER_DESCRIPTORS_SHARE,
         )
         self.roster.evacuations = fleet_evacuations.EvacuationExchange(
             view=self.views[store_feed.ObjectKind.EVACUATIONS],
@@ -281,6 +293,66 @@
             )
         return self.listed_hosts[1]
 
+    def _make_listener(
+        self,
+        name: str,
+        *,
+        handler: io_pipeline.RequestHandler,
+        limits: Callable[[], routing_model.CallerLimits],
+        share: float,
+        may_close_active: bool = False,
+    ) -> io_pipeline.CallerListener:
+        """Return a listener that may take a share of the descriptors."""
+        connections = connection_account.share_limits(
+            self.settings.resources.max_descriptors, share
+        )
+        return io_pipeline.CallerListener(
+            handler=handler,
+            limits=limits,
+            timer=self.timer,
+            memory=self.request_memory,
+            answer_memory=self.answer_memory,
+            max_connections=connections.max_connections,
+            max_per_peer=connections.max_per_peer,
+            may_close_active=may_close_active,
+            account=self.account,
+            name=name,
+        )
+
+    def serve_endpoint(
+        self,
+        name: str,
+        *,
+        address: forwarding_settings.SocketAddress,
+        path: str,
+        answer: io_endpoints.Answer,
+        share: float = http_const.PROBE_DESCRIPTORS_SHARE,
+    ) -> io_pipeline.CallerListener:
+        """Answer requests without effects for a path on an address."""
+        listener = self._make_listener(
+            name,
+            handler=io_endpoints.EndpointHandler(path=path, answer=answer),
+            limits=lambda: io_endpoints.LIMITS,
+            share=share,
+            may_close_active=True,
+        )
+        listener.start_listening(host=address.host, port=address.port)
+        return listener
+
+    def answer_ready(self, query: Mapping[str, str]) -> http_model.Response:
+        """Answer 200 if the host is ready, else 503."""
+        del query
+        return io_endpoints.render(200 if self.ready else 503)
+
+    def answer_metrics(self, query: Mapping[str, str]) -> http_model.Response:
+        """Answer with the metrics in the Prometheus text format."""
+        del query
+        return io_endpoints.render(
+            200,
+            body=self.metrics.render(),
+            content_type="text/plain; version=0.0.4",
+        )
+
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then stop gracefully."""
         loop = asyncio.get_running_loop()
@@ -298,6 +370,8 @@
             self.coordinator,
             host=self.settings.peers.host,
             port=self.settings.peers.port,
+            account=self.account,
+            timer=self.timer,
         )
         self.tasks = [
             asyncio.ensure_future(
@@ -468,28 +542,10 @@
         self.metrics.set_belief("reads_store", self.coordinator.direct)
         self.metrics.set_belief("sources", len(self.coordinator.sources))
         self.metrics.set_belief("followers", len(self.coordinator.followers))
-
-
-class ReadyHandler(web.RequestHandler):
-    """Serve the readiness of the host."""
-
-    def initialize(self, host: ForwardingHost) -> None:
-        """Store the host that the handler reports on."""
-        self.host = host
-
-    def get(self) -> None:
-        """Answer 200 if the host is ready, else 503."""
-        self.set_status(200 if self.host.ready else 503)
-
-
-class MetricsHandler(web.RequestHandler):
-    """Serve the metrics of the host."""
-
-    def initialize(self, host: ForwardingHost) -> None:
-        """Store the host that the handler reports on."""
-        self.host = host
-
-    def get(self) -> None:
-        """Answer with the Prometheus text format."""
-        self.set_header("Content-Type", "text/plain; version=0.0.4")
-        self.write(self.host.metrics.render())
+        for name, use in self.account.use().items():
+            self.metrics.set_held(
+                name,
+                connections=use.connections,
+                held_bytes=use.held_bytes,
+                closed=self.account.closed[name],
+            )
