--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -72,7 +72,9 @@
             )
             for number in range(CALLERS)
         ]
-        key_changes = asyncio.ensure_future(faults.change_keys(world, key_rng))
+        key_changes = asyncio.ensure_future(
+            faults.change_keys(world, key_book, key_rng)
+        )
         kinds = faults.PLANNED if planned_only else faults.FAULTS
         applied = await faults.run(world, seconds=seconds, kinds=kinds)
         await asyncio.gather(*caller_tasks)
--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -6,6 +6,7 @@
 import random
 import signal
 
+from standins.soak import keys
 from standins.soak import world as soak_world
 
 # Takes the deployment and the duration of the fault in seconds.
@@ -166,7 +167,8 @@
     world.store.put(
         "config", "main", world.rng.choice([{"Version": "1"}, "cut sho"])
     )
-    world.keys.record(usable=False)
+    if world.keys is not None:
+        world.keys.record(usable=False)
     await asyncio.sleep(duration_s)
     world.change_configuration()
     for number in range(len(malformed)):
@@ -179,11 +181,13 @@
     world.change_configuration()
 
 
-async def change_keys(world: soak_world.World, rng: random.Random) -> None:
+async def change_keys(
+    world: soak_world.World, key_book: keys.KeyBook, rng: random.Random
+) -> None:
     """Add and remove keys until cancelled."""
     while True:
         await asyncio.sleep(rng.uniform(0.3, 1.0))
-        world.keys.change()
+        key_book.change()
         world.change_configuration()
 
 
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -45,6 +45,8 @@
         folder: pathlib.Path,
         store_address: str,
         strict_revoke: bool = False,
+        memory_mb: int = 300,
+        max_descriptors: int = 4100,
     ) -> None:
         self.name = f"host-{number}"
         # The process ID keeps soaks that run at the same time from sharing
@@ -82,8 +84,8 @@
                 "CpuShare": 1.0,
                 "CpuCores": 1,
                 "BandwidthMbps": 1000.0,
-                "MemoryMb": 300,
-                "MaxFds": 4100,
+                "MemoryMb": memory_mb,
+                "MaxFds": max_descriptors,
             },
             "Platform": {"Address": store_address},
         }
@@ -124,13 +126,19 @@
         folder: pathlib.Path,
         rng: random.Random,
         hosts: int,
-        keys: key_module.KeyBook,
-        strict_revoke: bool,
+        keys: key_module.KeyBook | None = None,
+        strict_revoke: bool = False,
+        memory_mb: int = 300,
+        max_descriptors: int = 4100,
     ) -> None:
         self.folder = folder
         self.rng = rng
+        # Keys of teams; without it, the configuration has no teams.
         self.keys = keys
         self.strict_revoke = strict_revoke
+        # Limits in the settings of each entry host.
+        self.memory_mb = memory_mb
+        self.max_descriptors = max_descriptors
         self.store = store.StoreState(rng=rng)
         self.run_log = servers.RunLog()
         self.servers: dict[str, servers.FakeServer] = {}
@@ -157,6 +165,8 @@
                 folder=self.folder,
                 store_address=f"127.0.0.1:{store_proxy.port}",
                 strict_revoke=self.strict_revoke,
+                memory_mb=self.memory_mb,
+                max_descriptors=self.max_descriptors,
             )
             self.hosts.append(host)
             await host.start()
@@ -220,6 +230,7 @@
     def change_configuration(self) -> None:
         """Write the next version of the configuration."""
         self.version += 3
+        teams = self.keys.keys if self.keys is not None else {}
         action = {"Service": "desk", "Timeout": "1s", "MaxAttempts": 2}
         rules = [
             {
@@ -253,11 +264,12 @@
                 "Clusters": [{"Name": "desk", "ColdPerS": 5}],
                 "Tenants": [
                     {"Name": team, "ApiKeys": list(team_keys)}
-                    for team, team_keys in self.keys.keys.items()
+                    for team, team_keys in teams.items()
                 ],
             },
         )
-        self.keys.record()
+        if self.keys is not None:
+            self.keys.record()
 
     def hosts_with_logged_keys(self) -> list[str]:
         """Return the hosts in whose log a key stands."""
