--- a/src/samphirelug/components/http/io_endpoints.py
+++ b/src/samphirelug/components/http/io_endpoints.py
@@ -28,7 +28,7 @@
     header_timeout_s=const.DEFAULT_HEADER_TIMEOUT_S,
     idle_timeout_s=const.DEFAULT_IDLE_TIMEOUT_S,
 )
-# Returns the response to a request with the first value of each field of its
+# Returns the response to a request with the last value of each field of its
 # query.
 Answer = Callable[[Mapping[str, str]], model.Response]
 
@@ -73,11 +73,7 @@
         if message.method not in METHODS:
             return render(405)
         try:
-            fields = dict(reversed(parse.parse_qsl(query)))
-            return self.answer(fields)
-        except ValueError:
-            # Thrown for a query with too many fields.
-            return render(400)
+            return self.answer(dict(parse.parse_qsl(query)))
         except Exception:
             _LOGGER.exception("request to an endpoint failed")
             return render(500)
--- a/tests/components/http/test_io_endpoints.py
+++ b/tests/components/http/test_io_endpoints.py
@@ -9,6 +9,7 @@
 from tornado import web
 
 from samphirelug.components.http import io_endpoints
+from samphirelug.components.http import request_parser
 
 SENT_BYTES = 4_000_000
 MAX_HELD_BYTES = 1_000_000
@@ -91,6 +92,32 @@
     assert held_bytes < MAX_HELD_BYTES
 
 
+@pytest.mark.parametrize(
+    ("method", "target", "status"),
+    [
+        ("GET", "/probe?Zone=a&Zone=b", 200),
+        ("HEAD", "/probe?Zone=b", 200),
+        ("GET", "/probe", 500),
+        ("POST", "/probe?Zone=b", 405),
+        ("GET", "/other", 404),
+    ],
+)
+def test_endpoint_answers_only_reads_of_its_path(
+    method: str, target: str, status: int
+) -> None:
+    """Guard against answers that another path or a write would get."""
+    handler = io_endpoints.EndpointHandler(
+        path="/probe",
+        answer=lambda query: io_endpoints.render(
+            200, body=query["Zone"].encode()
+        ),
+    )
+    message = request_parser.CallerMessage(method, target, (), b"", 0.0)
+    response = asyncio.run(handler.handle(message))
+    assert response.status == status
+    assert (response.body == b"b") is (status == 200)
+
+
 def _port(server: httpserver.HTTPServer) -> int:
     (listening,) = server._sockets.values()
     port: int = listening.getsockname()[1]
