Let refused callers return by priority, then by fairness

Cause: under shortage, refused callers of a flooding team came back as soon as those of other teams, and each priority was given slots as if there were no other.

Change: under shortage among teams, callers are told times behind those of more urgent callers, and behind those of their priority whose teams are within their share. All times stay within the bounds of today, with at least 8 different ones. Without teams the times are as before.

--- a/src/samphirelug/components/placement/const.py
+++ b/src/samphirelug/components/placement/const.py
@@ -48,6 +48,15 @@
 MIN_LIMIT_PER_S = 0.5
 # Additional delay for each lower priority, as a fraction of the service time.
 PRIORITY_DELAY_RATIO = 0.25
+# Additional delay for callers of a team over its share, as a fraction of the
+# service time: half a priority, so that priority goes before fairness.
+OVER_SHARE_DELAY_RATIO = 0.125
+# Upper bound of the earliest Retry-After time under shortage among teams. The
+# rest up to the maximum is left for spreading the retries.
+MAX_EARLIEST_RETRY_AFTER_S = 0.6
+# Number of different times in that rest, also where slots become free less
+# often than that.
+MIN_RETRY_TIMES = 8
 # Assumed time that a request occupies a slot, used until the first answer has
 # been measured.
 INITIAL_SERVICE_TIME_S = 0.5
--- a/src/samphirelug/components/placement/fair_share.py
+++ b/src/samphirelug/components/placement/fair_share.py
@@ -11,6 +11,7 @@
 import math
 
 from samphirelug.components.placement import const
+from samphirelug.components.placement import retry_after
 from samphirelug.helpers import log_rate
 
 _LOGGER = logging.getLogger(__name__)
@@ -278,6 +279,21 @@
         shares = self.services.get(service)
         return shares is not None and self._is_short(service, shares, now=now)
 
+    def retry_order(
+        self, *, service: str, team: str, now: float
+    ) -> retry_after.RetryOrder:
+        """Return how callers of a team that are refused retry."""
+        shares = self.services.get(service)
+        if (
+            shares is None
+            or not shares.teams
+            or not self._is_short(service, shares, now=now)
+        ):
+            return retry_after.RetryOrder.BY_SLOTS
+        if shares.team_excess(team, now=now):
+            return retry_after.RetryOrder.OVER_SHARE
+        return retry_after.RetryOrder.WITHIN_SHARE
+
     def record_sent(
         self, *, service: str, team: str, priority: int, now: float
     ) -> None:
--- a/src/samphirelug/components/placement/placer.py
+++ b/src/samphirelug/components/placement/placer.py
@@ -263,6 +263,9 @@
                 priority=route.priority,
                 slots=slots / (self.host_count() or 1),
                 now=now,
+                order=self.fair_share.retry_order(
+                    service=service.name, team=team, now=now
+                ),
             ),
         )
 
--- a/tests/components/placement/test_fair_share_replay.py
+++ b/tests/components/placement/test_fair_share_replay.py
@@ -4,6 +4,7 @@
 callers for the same arrivals.
 """
 
+import collections
 from collections.abc import Sequence
 import functools
 import itertools
@@ -54,6 +55,7 @@
     """Hold the callers of all seeds under one load."""
 
     def __init__(self, reports: Sequence[replay.ReplayReport]) -> None:
+        self.retry_times_s = [report.retry_times_s for report in reports]
         self.outcomes = [
             outcome
             for report in reports
@@ -167,6 +169,16 @@
     check_common_bounds(fair, plain)
 
 
+def test_callers_refused_in_a_flood_do_not_retry_together() -> None:
+    """Guard against a flood whose refused callers return as a second one."""
+    for times_s in replay_load(*FLOOD, hosts=3).retry_times_s:
+        together = collections.Counter(
+            int(time_s / 0.01) for time_s in times_s
+        )
+        assert len(times_s) > 1000
+        assert max(together.values()) < 0.01 * len(times_s)
+
+
 def check_common_bounds(fair: Results, plain: Results) -> None:
     """Check what holds under every load beyond capacity."""
     whole = fair.share("in target")
--- a/tests/components/placement/test_retry_after.py
+++ b/tests/components/placement/test_retry_after.py
@@ -2,20 +2,30 @@
 
 import itertools
 
+import pytest
+
 from samphirelug.components.placement import const
 from samphirelug.components.placement import retry_after
 
 
+Order = retry_after.RetryOrder
+
+
 def retry_times(
-    count: int, *, priority: int = 0, slots: float = 4.0
+    count: int,
+    *,
+    priority: int = 0,
+    slots: float = 4.0,
+    order: retry_after.RetryOrder = Order.BY_SLOTS,
+    schedule: retry_after.RetryAfterSchedule | None = None,
 ) -> list[float]:
     """Return the retry times of callers that are refused together."""
-    schedule = retry_after.RetryAfterSchedule()
+    schedule = schedule or retry_after.RetryAfterSchedule()
     for _ in range(200):
         schedule.observe("desk", took_s=0.2)
     return [
         schedule.next_retry_after_s(
-            "desk", priority=priority, slots=slots, now=10.0
+            "desk", priority=priority, slots=slots, now=10.0, order=order
         )
         for _ in range(count)
     ]
@@ -60,3 +70,36 @@
     }
     slow, fast = times["slow"], times["fast"]
     assert slow[1] - slow[0] > fast[1] - fast[0]
+
+
+def test_callers_under_shortage_retry_by_priority_then_by_share() -> None:
+    """Guard against a flood that takes the slots that become free first."""
+    schedule = retry_after.RetryAfterSchedule()
+    times = [
+        retry_times(3, priority=priority, order=order, schedule=schedule)
+        for priority in (0, 1)
+        for order in (Order.WITHIN_SHARE, Order.OVER_SHARE)
+    ]
+    for earlier, later in itertools.pairwise(times):
+        assert max(earlier) < max(later)
+        assert min(earlier) < min(later)
+
+
+@pytest.mark.parametrize("slots", [0.2, 4.0, 300.0])
+@pytest.mark.parametrize("priority", [0, 1, 9])
+def test_retry_times_under_shortage_are_spread_within_their_bounds(
+    slots: float, priority: int
+) -> None:
+    """Guard against callers of a flood that all retry at the last moment."""
+    schedule = retry_after.RetryAfterSchedule()
+    retry_times(30, order=Order.WITHIN_SHARE, schedule=schedule)
+    times = retry_times(
+        400,
+        priority=priority,
+        slots=slots,
+        order=Order.OVER_SHARE,
+        schedule=schedule,
+    )
+    assert max(times) <= const.MAX_RETRY_AFTER_S + 1e-9
+    assert min(times) >= const.MIN_RETRY_AFTER_S
+    assert max(times.count(time_s) for time_s in times) <= len(times) / 7
