Replay repeats at once and bursts of the least urgent kind

Cause: only floods were replayed with fair shares.

Change: callers of the replay may repeat a refused request several times after a time of their own. Loads: a team whose callers repeat up to eight times at once at three times the usual rate, and a burst of 2.5 times of the invoices at twice the usual rate, with 3, 10 and 24 hosts; a service without teams and priorities, which is served exactly as before.

--- a/tests/components/placement/test_fair_share_replay.py
+++ b/tests/components/placement/test_fair_share_replay.py
@@ -30,6 +30,9 @@
     ("confirm", 1, routing_model.RouteKind.UNSAFE, 20.0, 0.52, 0.477),
     ("invoice", 2, routing_model.RouteKind.UNSAFE, 20.0, 0.84, 1.28),
 )
+# What callers do that repeat a refused request at once.
+REPEATS = 8
+REPEAT_AFTER_S = 0.02
 # The load lasts from the start, and is judged once shares have settled.
 START_S = 5.0
 JUDGED_FROM_S = 6.0
@@ -84,10 +87,11 @@
         return sum(selected) / len(selected)
 
 
-def request_kinds(
-    *, repeats: int = 1, repeat_after_s: float | None = None
-) -> list[replay.RequestKind]:
-    """Return the requests of each team on each route."""
+def request_kinds(*, repeating: str = "") -> list[replay.RequestKind]:
+    """Return the requests of each team on each route.
+
+    Callers of a team may repeat refused requests at once.
+    """
     whole = sum(SIZES.values())
     return [
         replay.RequestKind(
@@ -102,8 +106,8 @@
             72,
             3.0,
             team,
-            repeats,
-            repeat_after_s,
+            REPEATS if team == repeating else 1,
+            REPEAT_AFTER_S if team == repeating else None,
         )
         for name, priority, kind, rate, work_s, target_s in ROUTES
         for team, size in SIZES.items()
@@ -115,13 +119,12 @@
     *phases: replay.LoadPhase,
     hosts: int,
     shares: type[fair_share.FairShare] = fair_share.FairShare,
-    repeats: int = 1,
-    repeat_after_s: float | None = None,
+    repeating: str = "",
 ) -> Results:
     """Replay a load for each seed."""
     reports = []
     for seed in SEEDS:
-        kinds = request_kinds(repeats=repeats, repeat_after_s=repeat_after_s)
+        kinds = request_kinds(repeating=repeating)
         limits = {
             team: LIMIT_RATIO
             * sum(kind.requests_per_s for kind in kinds if kind.team == team)
@@ -169,6 +172,57 @@
     check_common_bounds(fair, plain)
 
 
+@pytest.mark.parametrize("hosts", HOSTS)
+def test_repeats_at_once_win_little_over_other_callers(hosts: int) -> None:
+    """Guard against slots that go to whoever asks for them most often.
+
+    The load is three times the usual rate of all teams. Callers of the
+    largest team repeat a refused request up to eight times, at once.
+    """
+    load = phases(3.0)
+    fair = replay_load(*load, hosts=hosts, repeating=LARGEST)
+    plain = replay_load(*load, hosts=hosts, repeating=LARGEST, shares=NoShares)
+    assert fair.share(*SERVED, other=LARGEST) > 1.03 * plain.share(
+        *SERVED, other=LARGEST
+    )
+    assert fair.share(*SERVED, team=LARGEST) < plain.share(
+        *SERVED, team=LARGEST
+    )
+    check_common_bounds(fair, plain)
+
+
+@pytest.mark.parametrize("hosts", HOSTS)
+def test_burst_of_the_least_urgent_requests_goes_behind(hosts: int) -> None:
+    """Guard against urgent requests that bear a burst of other ones.
+
+    The load is twice the usual rate, and 2.5 times that of the invoices.
+    """
+    load = [*phases(2.0), *phases(2.5, routes=["invoice"])]
+    fair = replay_load(*load, hosts=hosts)
+    plain = replay_load(*load, hosts=hosts, shares=NoShares)
+    for results in (SERVED, ("in target",)):
+        assert fair.share(*results, route="lookup") > 0.03 + plain.share(
+            *results, route="lookup"
+        )
+    assert fair.share(*SERVED, route="invoice") < fair.share(
+        *SERVED, route="lookup"
+    )
+    check_common_bounds(fair, plain)
+
+
+def test_service_without_teams_and_priorities_is_served_as_before() -> None:
+    """Guard against a change for services that have neither."""
+    kind = request_kinds()[0]._replace(requests_per_s=330.0, team="")
+    reports = []
+    for shares in (fair_share.FairShare, NoShares):
+        service = replay.Replay(kinds=[kind], servers=16, hosts=3)
+        for placer in service.placers:
+            placer.fair_share = shares()
+        reports.append(service.run(4.0))
+    assert reports[0].share("refused") > 0.1
+    assert reports[0] == reports[1]
+
+
 def test_callers_refused_in_a_flood_do_not_retry_together() -> None:
     """Guard against a flood whose refused callers return as a second one."""
     for times_s in replay_load(*FLOOD, hosts=3).retry_times_s:
