Show operators which teams bear a shortage

Cause: a host did not tell that a service is short, nor whose requests it refuses then; shares were not weighted by limits.

The host gives the placer the limits of the configuration in force as weights.

--- a/src/samphirelug/components/metrics/forwarding.py
+++ b/src/samphirelug/components/metrics/forwarding.py
@@ -6,6 +6,29 @@
 from samphirelug.components.metrics import registry
 
 
+# Labels of one metric that name teams, and priorities. Every further one is
+# counted as OTHER, which is one of them.
+MAX_TEAM_LABELS = 100
+MAX_PRIORITY_LABELS = 16
+OTHER = "other"
+
+
+class LabelLimit:
+    """Bound the number of labels; names that come first have their own."""
+
+    def __init__(self, *, labels: int) -> None:
+        self.labels = labels
+        self.known: set[str] = set()
+
+    def label(self, name: str) -> str:
+        """Return the name, or OTHER if there are too many."""
+        if name not in self.known:
+            if len(self.known) >= self.labels - 1:
+                return OTHER
+            self.known.add(name)
+        return name
+
+
 class ForwardingMetrics:
     """Hold the metrics of a forwarding entry host in one registry."""
 
@@ -26,6 +49,18 @@
             "Attempts at servers known to be cold, by service",
             registry=self.registry,
         )
+        self.shortage_refusals_by_team = collectors.Counter(
+            "samphirelug_shortage_refusals_by_team_total",
+            "Refusals because the candidate servers were full, by team",
+            registry=self.registry,
+        )
+        self.shortage_refusals_by_priority = collectors.Counter(
+            "samphirelug_shortage_refusals_by_priority_total",
+            "Refusals because the candidate servers were full, by priority",
+            registry=self.registry,
+        )
+        self.team_labels = LabelLimit(labels=MAX_TEAM_LABELS)
+        self.priority_labels = LabelLimit(labels=MAX_PRIORITY_LABELS)
         self.latency = collectors.Histogram(
             "samphirelug_request_seconds",
             "Time from the whole request to its result by route and code",
@@ -66,6 +101,15 @@
         """Count an attempt at a server that is known to be cold."""
         self.cold_requests.inc({"service": service})
 
+    def count_shortage_refusal(self, team: str, priority: int) -> None:
+        """Count a refusal because the candidate servers were full."""
+        self.shortage_refusals_by_team.inc(
+            {"team": self.team_labels.label(team)}
+        )
+        self.shortage_refusals_by_priority.inc(
+            {"priority": self.priority_labels.label(str(priority))}
+        )
+
     def count_store_call(self, kind: str, outcome: str) -> None:
         """Count a call to the store."""
         self.store_calls.inc({"kind": kind, "outcome": outcome})
--- a/src/samphirelug/components/placement/fair_share.py
+++ b/src/samphirelug/components/placement/fair_share.py
@@ -233,6 +233,7 @@
             *self.priorities.values(),
         ):
             count.multiply(factor)
+        self._remove_idle(now)
 
 
 class FairShare:
--- a/src/samphirelug/components/routing/table.py
+++ b/src/samphirelug/components/routing/table.py
@@ -16,6 +16,10 @@
         self.credentials = credentials.CredentialIndex(
             teams=configuration.teams
         )
+        # Requests per second that each team may send; 0 is no limit.
+        self.team_limits = {
+            team.name: team.requests_per_s for team in configuration.teams
+        }
         self.by_hostname: dict[str, list[model.Route]] = {}
         for route in configuration.routes:
             self.by_hostname.setdefault(route.hostname.lower(), []).append(
@@ -49,6 +53,10 @@
         """Return the version in force, 0 if there is none."""
         return self.table.configuration.version if self.table else 0
 
+    def team_limit_per_s(self, team: str) -> float:
+        """Return the rate that a team may send; 0 if it has no limit."""
+        return self.table.team_limits.get(team, 0.0) if self.table else 0.0
+
     def apply(
         self, configuration: model.Configuration, *, now: float, source: str
     ) -> bool:
--- a/src/samphirelug/forwarding_host.py
+++ b/src/samphirelug/forwarding_host.py
@@ -35,6 +35,7 @@
 from samphirelug.components.http import io_pool
 from samphirelug.components.http import model as http_model
 from samphirelug.components.metrics import forwarding as forwarding_metrics
+from samphirelug.components.placement import fair_share
 from samphirelug.components.placement import placer
 from samphirelug.components.routing import model as routing_model
 from samphirelug.components.routing import table
@@ -115,6 +116,10 @@
             host_count=lambda: self.roster.count,
             is_isolated=self.isolation.is_isolated,
             sharing_hosts=self._listed_hosts,
+            fair_share=fair_share.FairShare(
+                weight_of=self.configuration.team_limit_per_s,
+                on_refused=metrics.count_shortage_refusal,
+            ),
         )
         # Number of hosts that look-up answers list, as of a generation of the
         # roster.
--- a/tests/components/routing/test_table.py
+++ b/tests/components/routing/test_table.py
@@ -2,6 +2,7 @@
 
 import collections
 
+from samphirelug.components.routing import model
 from samphirelug.components.routing import split
 from samphirelug.components.routing import table
 from standins import forwarding as build
@@ -39,6 +40,20 @@
     assert state.applied_at_s == 1.0
 
 
+def test_limits_of_teams_follow_the_configuration() -> None:
+    """Guard against shares weighted by the limits of an older version."""
+    state = table.ConfigurationState()
+    assert state.team_limit_per_s("a") == 0.0
+    for version, limit in enumerate((5.0, 9.0), start=1):
+        team = model.Team("a", frozenset("k"), requests_per_s=limit)
+        configuration = build.configuration(version=version)
+        state.apply(
+            configuration._replace(teams=(team,)), now=1.0, source="test"
+        )
+        assert state.team_limit_per_s("a") == limit
+        assert state.team_limit_per_s("b") == 0.0
+
+
 SPLIT = build.route(destinations=(("desk", 90.0), ("ledger", 10.0)))
 
 
