Compare fair shares with a replay that has none of their parts

Cause: the replays without fair shares still had the order in which refused callers return, so that the compared results were not those of before.

--- a/tests/components/placement/test_fair_share_replay.py
+++ b/tests/components/placement/test_fair_share_replay.py
@@ -13,6 +13,7 @@
 
 from samphirelug.components.placement import const
 from samphirelug.components.placement import fair_share
+from samphirelug.components.placement import retry_after
 from samphirelug.components.routing import model as routing_model
 from standins import forwarding as build
 from standins.simulation import placement as replay
@@ -53,6 +54,16 @@
         """Return the constant."""
         return const.FULL_RATIO
 
+    def retry_order(
+        self,
+        *,
+        service: str,  # noqa: ARG002
+        team: str,  # noqa: ARG002
+        now: float,  # noqa: ARG002
+    ) -> retry_after.RetryOrder:
+        """Return the order without shares."""
+        return retry_after.RetryOrder.BY_SLOTS
+
 
 class Results:
     """Hold the callers of all seeds under one load."""
