--- a/src/samphirelug/components/forwarding/const.py
+++ b/src/samphirelug/components/forwarding/const.py
@@ -23,8 +23,17 @@
 # Retry-After time of a team that shares no allowed region with the route. Only
 # a new configuration can change that.
 NO_REGION_RETRY_AFTER_S = 5.0
+# Retry-After time while keys may have been removed without this host knowing.
+# Hosts whose source is too old replace it within about this time.
+OUTDATED_RETRY_AFTER_S = 1.0
 # Maximum log lines per second for answered requests; lines beyond it are
 # counted.
 ANSWERED_LOG_LINES_PER_S = 50
 # Maximum log lines per second for refused or failed requests.
 FAILED_LOG_LINES_PER_S = 100
+# Maximum log lines per second for requests without the key of a team. Callers
+# that guess keys must not take the lines of other failures.
+REJECTED_KEY_LOG_LINES_PER_S = 10
+# Length of the beginning of a key's digest in the log. It is long enough to
+# find the caller by, and too short to test guessed keys against.
+LOGGED_DIGEST_LENGTH = 8
--- a/src/samphirelug/components/metrics/forwarding.py
+++ b/src/samphirelug/components/metrics/forwarding.py
@@ -26,7 +26,8 @@
             if len(self.known) >= self.labels - 1:
                 return OTHER
             self.known.add(name)
-        return name
+        # The formatter does not escape values.
+        return name.replace("\\", "\\\\").replace('"', '\\"')
 
 
 class ForwardingMetrics:
@@ -61,6 +62,11 @@
         )
         self.team_labels = LabelLimit(labels=MAX_TEAM_LABELS)
         self.priority_labels = LabelLimit(labels=MAX_PRIORITY_LABELS)
+        self.team_requests = collectors.Counter(
+            "samphirelug_team_requests_total",
+            "Requests of teams by team and result code",
+            registry=self.registry,
+        )
         self.latency = collectors.Histogram(
             "samphirelug_request_seconds",
             "Time from the whole request to its result by route and code",
@@ -85,6 +91,22 @@
             registry=self.registry,
         )
 
+        self.connections = collectors.Gauge(
+            "samphirelug_connections",
+            "Open connections of clients by listener",
+            registry=self.registry,
+        )
+        self.held_bytes = collectors.Gauge(
+            "samphirelug_held_bytes",
+            "Estimated memory of connections and messages by listener",
+            registry=self.registry,
+        )
+        self.closed_connections = collectors.Counter(
+            "samphirelug_connections_closed_total",
+            "Connections closed or refused for room by listener",
+            registry=self.registry,
+        )
+
     def observe_request(
         self, *, route: str, code: str, seconds: float
     ) -> None:
@@ -93,6 +115,14 @@
         self.requests.inc(labels)
         self.latency.observe(labels, seconds)
 
+    def count_team_request(self, *, team: str, code: str) -> None:
+        """Count a finished request of a team.
+
+        The first teams that send requests have a label of their own.
+        """
+        label = self.team_labels.label(team)
+        self.team_requests.inc({"team": label, "code": code})
+
     def count_retry(self, outcome: str) -> None:
         """Count a retry of a request."""
         self.retries.inc({"outcome": outcome})
@@ -122,6 +152,15 @@
         """Set the value of samphirelug_belief that has this name."""
         self.beliefs.set({"name": name}, value)
 
+    def set_held(
+        self, listener: str, *, connections: int, held_bytes: int, closed: int
+    ) -> None:
+        """Set what a listener holds, and how many it has closed for room."""
+        labels = {"listener": listener}
+        self.connections.set(labels, connections)
+        self.held_bytes.set(labels, held_bytes)
+        self.closed_connections.set(labels, closed)
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return text.TextFormatter().marshall(self.registry)
--- a/src/samphirelug/components/placement/fair_share.py
+++ b/src/samphirelug/components/placement/fair_share.py
@@ -244,7 +244,10 @@
         *,
         weight_of: Callable[[str], float] = lambda _: 0.0,
         on_refused: Callable[[str, int], None] = lambda _, __: None,
+        is_enabled: Callable[[], bool] = lambda: True,
     ) -> None:
+        # Whether callers belong to teams; without, all requests are alike.
+        self.is_enabled = is_enabled
         # Requests per second that a team may send; 0 if it has no limit.
         self.weight_of = weight_of
         # Called with team and priority of each refusal.
@@ -262,6 +265,8 @@
         It is the constant except for requests of a short service that are
         less urgent than refused ones, or whose team is over its share.
         """
+        if not self.is_enabled():
+            return const.FULL_RATIO
         shares = self.services.get(service)
         if shares is None or not self._is_short(service, shares, now=now):
             return const.FULL_RATIO
@@ -284,6 +289,8 @@
         self, *, service: str, team: str, now: float
     ) -> retry_after.RetryOrder:
         """Return how callers of a team that are refused retry."""
+        if not self.is_enabled():
+            return retry_after.RetryOrder.BY_SLOTS
         shares = self.services.get(service)
         if (
             shares is None
@@ -299,6 +306,8 @@
         self, *, service: str, team: str, priority: int, now: float
     ) -> None:
         """Count a request that is sent to a server of the service."""
+        if not self.is_enabled():
+            return
         self._shares(service, now=now).count(
             team=team, priority=priority, sent=True, now=now
         )
@@ -307,6 +316,8 @@
         self, *, service: str, team: str, priority: int, now: float
     ) -> None:
         """Count a request that is refused as its servers are full."""
+        if not self.is_enabled():
+            return
         shares = self._shares(service, now=now)
         shares.count(team=team, priority=priority, sent=False, now=now)
         shares.refused_while_short += 1
--- a/src/samphirelug/components/routing/table.py
+++ b/src/samphirelug/components/routing/table.py
@@ -57,6 +57,11 @@
         """Return the rate that a team may send; 0 if it has no limit."""
         return self.table.team_limits.get(team, 0.0) if self.table else 0.0
 
+    @property
+    def has_teams(self) -> bool:
+        """Return whether callers belong to teams."""
+        return bool(self.table and self.table.configuration.teams)
+
     def apply(
         self, configuration: model.Configuration, *, now: float, source: str
     ) -> bool:
--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -3,8 +3,10 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import random
 import signal
 
+from standins.soak import keys
 from standins.soak import world as soak_world
 
 # Takes the deployment and the duration of the fault in seconds.
@@ -165,6 +167,8 @@
     world.store.put(
         "config", "main", world.rng.choice([{"Version": "1"}, "cut sho"])
     )
+    if world.keys is not None:
+        world.keys.record(usable=False)
     await asyncio.sleep(duration_s)
     world.change_configuration()
     for number in range(len(malformed)):
@@ -177,6 +181,16 @@
     world.change_configuration()
 
 
+async def change_keys(
+    world: soak_world.World, key_book: keys.KeyBook, rng: random.Random
+) -> None:
+    """Add and remove keys until cancelled."""
+    while True:
+        await asyncio.sleep(rng.uniform(0.3, 1.0))
+        key_book.change()
+        world.change_configuration()
+
+
 FAULTS: tuple[Fault, ...] = (
     terminate,
     kill,
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -12,6 +12,7 @@
 
 import orjson
 
+from standins.soak import keys as key_module
 from standins.soak import proxy
 from standins.soak import servers
 from standins.soak import store
@@ -38,7 +39,14 @@
     """Run one entry host as a process of its own."""
 
     def __init__(
-        self, *, number: int, folder: pathlib.Path, store_address: str
+        self,
+        *,
+        number: int,
+        folder: pathlib.Path,
+        store_address: str,
+        strict_revoke: bool = False,
+        memory_mb: int = 300,
+        max_descriptors: int = 4100,
     ) -> None:
         self.name = f"host-{number}"
         # The process ID keeps soaks that run at the same time from sharing
@@ -69,13 +77,15 @@
                 "RetryBudgetSlack": 60,
                 "BudgetWindow": "10s",
                 "ttl_max": "5s",
+                "StrictRevoke": strict_revoke,
+                "Revoke": "5s",
             },
             "Limits": {
                 "CpuShare": 1.0,
                 "CpuCores": 1,
                 "BandwidthMbps": 1000.0,
-                "MemoryMb": 300,
-                "MaxFds": 4100,
+                "MemoryMb": memory_mb,
+                "MaxFds": max_descriptors,
             },
             "Platform": {"Address": store_address},
         }
@@ -111,10 +121,24 @@
     """Run a store, backend servers and entry hosts for one soak."""
 
     def __init__(
-        self, *, folder: pathlib.Path, rng: random.Random, hosts: int
+        self,
+        *,
+        folder: pathlib.Path,
+        rng: random.Random,
+        hosts: int,
+        keys: key_module.KeyBook | None = None,
+        strict_revoke: bool = False,
+        memory_mb: int = 300,
+        max_descriptors: int = 4100,
     ) -> None:
         self.folder = folder
         self.rng = rng
+        # Keys of teams; without it, the configuration has no teams.
+        self.keys = keys
+        self.strict_revoke = strict_revoke
+        # Limits in the settings of each entry host.
+        self.memory_mb = memory_mb
+        self.max_descriptors = max_descriptors
         self.store = store.StoreState(rng=rng)
         self.run_log = servers.RunLog()
         self.servers: dict[str, servers.FakeServer] = {}
@@ -140,6 +164,9 @@
                 number=number,
                 folder=self.folder,
                 store_address=f"127.0.0.1:{store_proxy.port}",
+                strict_revoke=self.strict_revoke,
+                memory_mb=self.memory_mb,
+                max_descriptors=self.max_descriptors,
             )
             self.hosts.append(host)
             await host.start()
@@ -203,17 +230,24 @@
     def change_configuration(self) -> None:
         """Write the next version of the configuration."""
         self.version += 3
+        teams = self.keys.keys if self.keys is not None else {}
         action = {"Service": "desk", "Timeout": "1s", "MaxAttempts": 2}
         rules = [
             {
                 "Name": name,
                 "Type": kind,
+                "Public": name == "page",
                 "TargetLatency": "400ms",
                 "SessionAffinity": True,
                 "Match": {"PathPrefix": f"/{name}/"},
                 "Action": action,
             }
-            for name, kind in (("status", "safe"), ("filing", "unsafe"))
+            for name, kind in (
+                ("status", "safe"),
+                ("page", "safe"),
+                ("filing", "unsafe"),
+                ("upload", "upload"),
+            )
         ]
         self.store.put(
             "config",
@@ -228,8 +262,23 @@
                 },
                 "Listeners": [{"Hostname": "portal.example", "Rules": rules}],
                 "Clusters": [{"Name": "desk", "ColdPerS": 5}],
+                "Tenants": [
+                    {"Name": team, "ApiKeys": list(team_keys)}
+                    for team, team_keys in teams.items()
+                ],
             },
         )
+        if self.keys is not None:
+            self.keys.record()
+
+    def hosts_with_logged_keys(self) -> list[str]:
+        """Return the hosts in whose log a key stands."""
+        return [
+            host.name
+            for host in self.hosts
+            if key_module.KEY_PREFIX
+            in (self.folder / f"{host.name}.log").read_text("latin-1")
+        ]
 
     async def _wait_ready(self, host: HostProcess) -> None:
         for _ in range(round(READY_TIMEOUT_S / READY_POLL_S)):
