--- a/src/samphirelug/components/metrics/forwarding.py
+++ b/src/samphirelug/components/metrics/forwarding.py
@@ -6,9 +6,28 @@
 from samphirelug.components.metrics import registry
 
 
-# Values of the label team, of which one stands for all further teams.
+# Labels of one metric that name teams, and priorities. Every further one is
+# counted as OTHER, which is one of them.
 MAX_TEAM_LABELS = 100
-OTHER_TEAMS = "other"
+MAX_PRIORITY_LABELS = 16
+OTHER = "other"
+
+
+class LabelLimit:
+    """Bound the number of labels; names that come first have their own."""
+
+    def __init__(self, *, labels: int) -> None:
+        self.labels = labels
+        self.known: set[str] = set()
+
+    def label(self, name: str) -> str:
+        """Return the name, or OTHER if there are too many."""
+        if name not in self.known:
+            if len(self.known) >= self.labels - 1:
+                return OTHER
+            self.known.add(name)
+        # The formatter does not escape values.
+        return name.replace("\\", "\\\\").replace('"', '\\"')
 
 
 class ForwardingMetrics:
@@ -31,12 +50,23 @@
             "Attempts at servers known to be cold, by service",
             registry=self.registry,
         )
+        self.shortage_refusals_by_team = collectors.Counter(
+            "samphirelug_shortage_refusals_by_team_total",
+            "Refusals because the candidate servers were full, by team",
+            registry=self.registry,
+        )
+        self.shortage_refusals_by_priority = collectors.Counter(
+            "samphirelug_shortage_refusals_by_priority_total",
+            "Refusals because the candidate servers were full, by priority",
+            registry=self.registry,
+        )
+        self.team_labels = LabelLimit(labels=MAX_TEAM_LABELS)
+        self.priority_labels = LabelLimit(labels=MAX_PRIORITY_LABELS)
         self.team_requests = collectors.Counter(
             "samphirelug_team_requests_total",
             "Requests of teams by team and result code",
             registry=self.registry,
         )
-        self.labelled_teams: set[str] = set()
         self.latency = collectors.Histogram(
             "samphirelug_request_seconds",
             "Time from the whole request to its result by route and code",
@@ -90,13 +120,7 @@
 
         The first teams that send requests have a label of their own.
         """
-        if team not in self.labelled_teams:
-            if len(self.labelled_teams) < MAX_TEAM_LABELS - 1:
-                self.labelled_teams.add(team)
-            else:
-                team = OTHER_TEAMS
-        # The formatter does not escape values.
-        label = team.replace("\\", "\\\\").replace('"', '\\"')
+        label = self.team_labels.label(team)
         self.team_requests.inc({"team": label, "code": code})
 
     def count_retry(self, outcome: str) -> None:
@@ -107,6 +131,15 @@
         """Count an attempt at a server that is known to be cold."""
         self.cold_requests.inc({"service": service})
 
+    def count_shortage_refusal(self, team: str, priority: int) -> None:
+        """Count a refusal because the candidate servers were full."""
+        self.shortage_refusals_by_team.inc(
+            {"team": self.team_labels.label(team)}
+        )
+        self.shortage_refusals_by_priority.inc(
+            {"priority": self.priority_labels.label(str(priority))}
+        )
+
     def count_store_call(self, kind: str, outcome: str) -> None:
         """Count a call to the store."""
         self.store_calls.inc({"kind": kind, "outcome": outcome})
