Limit the requests of teams over all entry hosts

Each team with a limit has an owner that hands out tokens; hosts ask it by datagrams on the second port of the range. A majority of witnesses decides who owns a partition of teams, so that hosts out of touch never have two owners.

--- /dev/null
+++ b/src/samphirelug/components/allowance/holder.py
@@ -0,0 +1,415 @@
+"""Keep a stock of tokens of each team and ask owners for more; no I/O.
+
+A token may be spent within its lifetime from the time at which it was asked
+for, which is before it was handed out. So tokens of a host that was killed,
+suspended or cut off end by themselves.
+"""
+
+import collections
+from collections.abc import Mapping
+from collections.abc import Sequence
+import enum
+import math
+import random
+from typing import NamedTuple
+
+from samphirelug.components.allowance import const
+from samphirelug.components.allowance import model
+
+
+class Token(NamedTuple):
+    """Admit one request of a team until it expires."""
+
+    team: int
+    expires_at_s: float
+
+
+class Verdict(enum.Enum):
+    """Represent what happens to a request without a token."""
+
+    WAIT = "wait"
+    REFUSE = "refuse"
+
+
+class Question(NamedTuple):
+    """Hold when tokens were asked for."""
+
+    sent_at_s: float
+    teams: tuple[int, ...]
+    owner: str
+
+
+class TeamStock:
+    """Hold the tokens of one team that this host may spend."""
+
+    def __init__(self, *, limit: model.TeamLimit, now: float) -> None:
+        self.limit = limit
+        # Number and end of tokens, in the order in which they end.
+        self.tokens: collections.deque[list[float]] = collections.deque()
+        self.demand_per_s = 0.0
+        self.demand_at_s = now
+        # Requests that wait for a token.
+        self.waiting = 0
+        # Host that is asked.
+        self.owner = ""
+        # Number and time of the newest question, None once it was answered.
+        self.asked_at_s: float | None = None
+        self.unanswered = 0
+        self.refuse_until_s = float("-inf")
+        # Until then no other host is asked.
+        self.pauses_until_s = float("-inf")
+        self.confirmed = 0
+        # Owner that named the fallback.
+        self.fallback_owner = ""
+        self.fallback_per_s = 0.0
+        self.fallback_from_s = 0.0
+        self.fallback_until_s = 0.0
+        self.fallback_tokens = 0.0
+        self.fallback_at_s = now
+        self.emergency_at_s = now
+        self.last_retry_at_s = float("-inf")
+
+    @property
+    def is_unreachable(self) -> bool:
+        """Return whether the owner does not answer."""
+        return self.unanswered >= const.UNREACHABLE_AFTER
+
+    def count(self, now: float) -> int:
+        """Return the number of tokens that have not expired."""
+        while self.tokens and self.tokens[0][1] <= now:
+            self.tokens.popleft()
+        return int(sum(item[0] for item in self.tokens))
+
+    def take(self, now: float) -> Token | None:
+        """Return a token, None if there is none."""
+        if not self.count(now):
+            return None
+        first = self.tokens[0]
+        first[0] -= 1
+        if not first[0]:
+            self.tokens.popleft()
+        return Token(self.limit.key, first[1])
+
+    def put(self, tokens: int, expires_at_s: float) -> None:
+        """Add tokens."""
+        self.tokens.append([tokens, expires_at_s])
+        if len(self.tokens) > 1 and self.tokens[-2][1] > expires_at_s:
+            self.tokens = collections.deque(
+                sorted(self.tokens, key=lambda item: item[1])
+            )
+
+    def has_fallback(self, now: float) -> bool:
+        """Return whether there is a fallback that has not ended."""
+        return bool(self.fallback_per_s) and now < self.fallback_until_s
+
+    def take_fallback(self, now: float) -> Token | None:
+        """Return a token of the fallback, None if it has none now."""
+        begin_s = max(self.fallback_at_s, self.fallback_from_s)
+        end_s = min(now, self.fallback_until_s)
+        if end_s <= begin_s:
+            return None
+        self.fallback_at_s = end_s
+        self.fallback_tokens = min(
+            1.0,
+            self.fallback_tokens + (end_s - begin_s) * self.fallback_per_s,
+        )
+        if self.fallback_tokens < 1.0 or now >= self.fallback_until_s:
+            return None
+        self.fallback_tokens -= 1.0
+        return Token(self.limit.key, now)
+
+    def set_fallback(
+        self, per_s: float, *, from_s: float, until_s: float, owner: str
+    ) -> None:
+        """Replace the fallback."""
+        if not self.limit.has_fallback:
+            per_s = 0.0
+        self.fallback_per_s = per_s
+        self.fallback_from_s = from_s
+        self.fallback_until_s = until_s
+        self.fallback_owner = owner
+
+    def add_demand(self, now: float) -> None:
+        """Count a request in this host's demand."""
+        self.demand_per_s = self.demand(now) + 1.0 / const.DEMAND_TAU_S
+        self.demand_at_s = now
+
+    def demand(self, now: float) -> float:
+        """Return the requests per second at this host."""
+        elapsed_s = now - self.demand_at_s
+        return self.demand_per_s * math.exp(-elapsed_s / const.DEMAND_TAU_S)
+
+    def missing(self, now: float) -> int:
+        """Return the number of tokens to ask for.
+
+        Tokens are asked for ahead only if they are likely to be used.
+        """
+        ahead_s = min(
+            const.AHEAD_S,
+            const.AHEAD_LIFETIME_RATIO * self.limit.lifetime_s,
+        )
+        target = math.floor(self.demand(now) * ahead_s)
+        in_stock = self.count(now)
+        if not self.waiting and in_stock * 2 > target:
+            return 0
+        return min(const.MAX_TOKENS, max(0, self.waiting + target - in_stock))
+
+
+class AllowanceHolder:
+    """Decide on requests by the tokens of this host."""
+
+    def __init__(
+        self,
+        *,
+        slack: float,
+        window_s: float,
+        rng: random.Random,
+    ) -> None:
+        self.slack = slack
+        self.window_s = window_s
+        self.rng = rng
+        self.limits: Mapping[int, model.TeamLimit] = {}
+        self.stocks: dict[int, TeamStock] = {}
+        self.serving: frozenset[str] = frozenset()
+        # Owners by partition, as of the hosts that serve.
+        self.owners: Sequence[str] = ()
+        # Hosts that have answered last, by partition. While an owner hands
+        # over, it is not the one that the plan names.
+        self.last_owners: dict[int, str] = {}
+        # Known entry hosts; None if that is not known.
+        self.host_count: int | None = None
+        # Open questions by their number.
+        self.questions: dict[int, Question] = {}
+        # An answer to this host before a restart must not match.
+        self.number = rng.getrandbits(31)
+
+    def set_limits(
+        self, limits: Mapping[int, model.TeamLimit], *, now: float
+    ) -> None:
+        """Set the limits of all teams; a lower one shrinks fallbacks."""
+        del now
+        self.limits = limits
+        for key, stock in list(self.stocks.items()):
+            limit = limits.get(key)
+            if limit is None:
+                # Requests that wait are admitted by the caller.
+                del self.stocks[key]
+                continue
+            ratio = limit.requests_per_s / stock.limit.requests_per_s
+            stock.fallback_per_s *= min(1.0, ratio)
+            stock.limit = limit
+            if not limit.has_fallback:
+                stock.fallback_per_s = 0.0
+
+    def add_request(self, team: int, *, now: float) -> TeamStock:
+        """Count a request of a team with a limit; return the team's stock."""
+        stock = self.stocks.get(team)
+        if stock is None:
+            stock = TeamStock(limit=self.limits[team], now=now)
+            self.stocks[team] = stock
+        stock.add_demand(now)
+        return stock
+
+    def try_take(self, stock: TeamStock, *, now: float) -> Token | None:
+        """Return a token, from the stock or what is left without an owner."""
+        token = stock.take(now) or stock.take_fallback(now)
+        if token is not None or not stock.is_unreachable:
+            return token
+        return self._take_emergency(stock, now)
+
+    def _take_emergency(self, stock: TeamStock, now: float) -> Token | None:
+        """Return the one token in a window that a host has without an owner.
+
+        There is none if those of all hosts would not fit into the slack.
+        """
+        if (
+            self.host_count is None
+            or self.host_count > const.EMERGENCY_RATIO * self.slack
+            or now - stock.emergency_at_s <= self.window_s
+        ):
+            return None
+        stock.emergency_at_s = now
+        return Token(stock.limit.key, now)
+
+    def judge(self, stock: TeamStock, *, now: float) -> Verdict:
+        """Return whether a request without a token may wait for one."""
+        if now < stock.refuse_until_s or stock.is_unreachable:
+            return Verdict.REFUSE
+        return Verdict.WAIT
+
+    def retry_after_s(self, stock: TeamStock, *, now: float) -> float:
+        """Return when a refused caller shall return.
+
+        Each is given the time of another token of this host's share.
+        """
+        hosts = max(1, self.host_count or 1)
+        rate = stock.limit.requests_per_s
+        share = min(rate, max(rate / hosts, stock.demand(now) / 2))
+        earliest_s = max(const.MIN_REFUSE_S, stock.refuse_until_s - now)
+        at_s = max(now + earliest_s, stock.last_retry_at_s + 1.0 / share)
+        if at_s > now + const.MAX_RETRY_AFTER_S:
+            # More callers than tokens: begin again at the earliest time.
+            at_s = now + earliest_s
+        stock.last_retry_at_s = at_s
+        # Callers of other hosts are given times from the same bucket.
+        return at_s - now + self.rng.uniform(0.0, 1.0 / share / 2 + 0.02)
+
+    def give_back(self, token: Token, *, now: float) -> None:
+        """Put back the token of a request that reached no server."""
+        stock = self.stocks.get(token.team)
+        if stock is not None and now < token.expires_at_s:
+            stock.put(1, token.expires_at_s)
+
+    def due_wants(self, *, now: float) -> dict[str, list[model.Want]]:
+        """Return the questions that are due, by owner."""
+        due: dict[str, list[model.Want]] = {}
+        for key, stock in list(self.stocks.items()):
+            want = self._want(stock, now)
+            owner = stock.owner
+            if want is not None:
+                due.setdefault(owner, []).append(want)
+                continue
+            if (
+                now - stock.demand_at_s > const.IDLE_S
+                and not stock.waiting
+                and not stock.has_fallback(now)
+            ):
+                del self.stocks[key]
+        return due
+
+    def _want(self, stock: TeamStock, now: float) -> model.Want | None:
+        if stock.asked_at_s is not None:
+            resend_s = (
+                const.UNREACHABLE_RESEND_S
+                if stock.is_unreachable
+                else const.RESEND_S
+            )
+            if now - stock.asked_at_s < resend_s:
+                return None
+            self._note_failure(stock)
+        if not stock.owner or stock.owner not in self.serving:
+            planned = self.owners[stock.limit.partition]
+            stock.owner = self.last_owners.get(stock.limit.partition, planned)
+            if stock.owner not in self.serving:
+                stock.owner = planned
+        if now < max(stock.refuse_until_s, stock.pauses_until_s):
+            return None
+        missing = stock.missing(now)
+        if not missing and stock.is_unreachable:
+            missing = 1
+        if missing:
+            if now - stock.demand_at_s > const.IDLE_S and not stock.waiting:
+                return None
+            carried_per_s = (
+                stock.fallback_per_s if stock.has_fallback(now) else 0.0
+            )
+            return model.Want(
+                stock.limit.key, missing, carried_per_s, stock.confirmed
+            )
+        if (
+            stock.fallback_per_s
+            and stock.fallback_owner == stock.owner
+            and now - stock.demand_at_s > 1.0
+            and stock.demand(now) < const.FALLBACK_MIN_PER_S
+        ):
+            # Otherwise the owner would set aside what is not needed here.
+            stock.fallback_per_s = 0.0
+            return model.Want(stock.limit.key, 0, 0.0, stock.confirmed)
+        return None
+
+    def _note_failure(self, stock: TeamStock) -> None:
+        """Turn to the other host that may own a team."""
+        stock.asked_at_s = None
+        stock.unanswered += 1
+        planned = self.owners[stock.limit.partition]
+        if stock.owner != planned:
+            stock.owner = planned
+        else:
+            stock.owner = self.last_owners.get(stock.limit.partition, planned)
+
+    def ask(
+        self, owner: str, wants: list[model.Want], *, now: float
+    ) -> model.Ask:
+        """Return a question and note that it was sent."""
+        self.number += 1
+        for want in wants:
+            stock = self.stocks[want.team]
+            if want.tokens:
+                stock.asked_at_s = now
+            else:
+                # Answers on their way would name a fallback again.
+                stock.confirmed = self.number
+        teams = tuple(want.team for want in wants if want.tokens)
+        self.questions[self.number] = Question(now, teams, owner)
+        return model.Ask(self.number, wants)
+
+    def forget_questions(self, *, now: float) -> None:
+        """Forget questions whose answers would come too late."""
+        self.questions = {
+            number: question
+            for number, question in self.questions.items()
+            if now - question.sent_at_s <= const.ANSWER_WITHIN_S
+        }
+
+    def receive(
+        self, sender: str, answer: model.Answer, *, now: float
+    ) -> list[TeamStock]:
+        """Apply an answer; return the stocks that have changed."""
+        question = self.questions.get(answer.number)
+        if question is None or question.owner != sender:
+            return []
+        del self.questions[answer.number]
+        if not 0.0 <= now - question.sent_at_s <= const.ANSWER_WITHIN_S:
+            return []
+        changed = []
+        for grant in answer.grants:
+            stock = self.stocks.get(grant.team)
+            if stock is None or grant.team not in question.teams:
+                continue
+            self._apply(stock, grant, question, answer.number, now)
+            changed.append(stock)
+        granted = {grant.team for grant in answer.grants}
+        for team in question.teams:
+            stock = self.stocks.get(team)
+            if (
+                team not in granted
+                and stock is not None
+                and stock.owner == sender
+                and stock.asked_at_s == question.sent_at_s
+            ):
+                # The sender does not own this team.
+                self._note_failure(stock)
+                # Both hosts may deny it while an owner hands over.
+                stock.pauses_until_s = now + const.RESEND_S
+                changed.append(stock)
+        return changed
+
+    def _apply(
+        self,
+        stock: TeamStock,
+        grant: model.Grant,
+        question: Question,
+        number: int,
+        now: float,
+    ) -> None:
+        sent_at_s = question.sent_at_s
+        stock.unanswered = 0
+        stock.asked_at_s = None
+        stock.owner = question.owner
+        self.last_owners[stock.limit.partition] = question.owner
+        if grant.tokens:
+            stock.put(grant.tokens, sent_at_s + stock.limit.lifetime_s)
+        if grant.refuse_s and not stock.count(now):
+            stock.refuse_until_s = now + grant.refuse_s
+        if number <= stock.confirmed:
+            # A later question was answered first.
+            return
+        stock.confirmed = number
+        stock.set_fallback(
+            grant.fallback_per_s,
+            from_s=now
+            if grant.use_fallback
+            else sent_at_s + const.FALLBACK_AFTER_S,
+            until_s=sent_at_s + const.FALLBACK_AFTER_S + const.FALLBACK_S,
+            owner=question.owner,
+        )
--- a/src/samphirelug/components/forwarding/forwarder.py
+++ b/src/samphirelug/components/forwarding/forwarder.py
@@ -8,6 +8,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from samphirelug.components.allowance import gate
 from samphirelug.components.backend import model as backend_model
 from samphirelug.components.forwarding import const
 from samphirelug.components.forwarding import model
@@ -63,6 +64,7 @@
         log: request_log.RequestLog,
         host_count: Callable[[], int | None],
         view_age_s: Callable[[], float],
+        allowance: gate.AllowanceGate | None = None,
     ) -> None:
         self.timer = timer
         self.configuration = configuration
@@ -73,6 +75,7 @@
         self.host_count = host_count
         # Age of what this host knows of the servers, for the log.
         self.view_age_s = view_age_s
+        self.allowance = allowance or gate.OpenGate()
         self.split = split.WeightedSplit()
         # Time at which this host ends, on its monotonic clock; None while it
         # is not stopping.
@@ -139,7 +142,26 @@
                 "route and team share no allowed region",
                 const.NO_REGION_RETRY_AFTER_S,
             )
-        route = team_route
+        admission = await self.allowance.acquire(
+            team=team, now=self.timer.monotonic()
+        )
+        if isinstance(admission, Failure):
+            return admission
+        try:
+            return await self._forward_admitted(
+                request, team_route, route_table, trace
+            )
+        finally:
+            if not trace.reached_server:
+                self.allowance.give_back(admission.unwrap())
+
+    async def _forward_admitted(
+        self,
+        request: model.ReceivedRequest,
+        route: routing_model.Route,
+        route_table: table.RouteTable,
+        trace: request_log.RequestTrace,
+    ) -> RequestResult:
         deadline_at_s = request.received_at_s + min(
             route.timeout_s, const.MAX_REQUEST_S
         )
--- a/src/samphirelug/components/forwarding/request_log.py
+++ b/src/samphirelug/components/forwarding/request_log.py
@@ -7,6 +7,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from samphirelug.components.backend import model as backend_model
 from samphirelug.components.forwarding import const
 from samphirelug.components.forwarding import model
 from samphirelug.components.metrics import forwarding as forwarding_metrics
@@ -78,6 +79,12 @@
         self.service = ""
         self.attempts: list[AttemptRecord] = []
 
+    @property
+    def reached_server(self) -> bool:
+        """Return whether an attempt may have reached a server."""
+        not_sent = backend_model.FailureKind.NOT_SENT.value
+        return any(record.outcome != not_sent for record in self.attempts)
+
     def add_attempt(
         self, candidate: placer.Candidate, *, now: float
     ) -> AttemptRecord:
--- a/src/samphirelug/components/metrics/forwarding.py
+++ b/src/samphirelug/components/metrics/forwarding.py
@@ -26,6 +26,11 @@
             "Attempts at servers known to be cold, by service",
             registry=self.registry,
         )
+        self.allowances = collectors.Counter(
+            "samphirelug_allowance_requests_total",
+            "Requests of teams with a limit by team and result",
+            registry=self.registry,
+        )
         self.latency = collectors.Histogram(
             "samphirelug_request_seconds",
             "Time from the whole request to its result by route and code",
@@ -66,6 +71,10 @@
         """Count an attempt at a server that is known to be cold."""
         self.cold_requests.inc({"service": service})
 
+    def count_allowance(self, team: str, result: str) -> None:
+        """Count a request of a team with a limit."""
+        self.allowances.inc({"team": team, "result": result})
+
     def count_store_call(self, kind: str, outcome: str) -> None:
         """Count a call to the store."""
         self.store_calls.inc({"kind": kind, "outcome": outcome})
--- a/src/samphirelug/forwarding_host.py
+++ b/src/samphirelug/forwarding_host.py
@@ -10,6 +10,9 @@
 
 from tornado import web
 
+from samphirelug.components.allowance import gate as allowance_gate
+from samphirelug.components.allowance import io_datagrams as token_datagrams
+from samphirelug.components.allowance import node as allowance_node
 from samphirelug.components.directory import answer as directory_answer
 from samphirelug.components.fleet import const as fleet_const
 from samphirelug.components.fleet import consumers
@@ -178,6 +181,7 @@
             slack=settings.retries.slack,
             window_s=settings.retries.window_s,
         )
+        self.allowance = self._build_allowance()
         self.forwarder = forwarder.Forwarder(
             timer=timer,
             configuration=self.configuration,
@@ -187,6 +191,7 @@
             log=request_log.RequestLog(metrics=metrics),
             host_count=lambda: self.roster.count,
             view_age_s=lambda: self.coordinator.age_s(timer.monotonic()),
+            allowance=self.allowance,
         )
         self.listener = io_pipeline.CallerListener(
             handler=handler.ForwardingHandler(
@@ -288,6 +293,8 @@
         loop.add_signal_handler(signal.SIGINT, self.stopping.set)
         await self.notice_protocol.start()
         self.sender.start()
+        if self.allowance is not None:
+            self.allowance.start()
         self.listener.start_listening(
             host=self.settings.callers.host, port=self.settings.callers.port
         )
@@ -425,6 +432,34 @@
             },
         )
 
+    def _build_allowance(self) -> allowance_gate.TeamGate | None:
+        """Return the gate of teams with a limit, None without settings."""
+        bounds = self.settings.allowances
+        address = self.settings.second_peers
+        if bounds is None or address is None:
+            return None
+        rng = random.Random()
+        node = allowance_node.AllowanceNode(
+            own=self.roster.own,
+            bounds=bounds,
+            rng=rng,
+            first_start=self.settings.first_start,
+            now=self.timer.monotonic(),
+        )
+        protocol = token_datagrams.AllowanceProtocol(
+            node=node,
+            roster=self.roster,
+            address=(address.host, address.port),
+            may_own=lambda: self.ready and not self.isolation.is_isolated(),
+            timer=self.timer,
+        )
+        return allowance_gate.TeamGate(
+            configuration=self.configuration,
+            protocol=protocol,
+            timer=self.timer,
+            metrics=self.metrics,
+        )
+
     def _mark_leaving(self, server: fleet_model.ServerInstance) -> None:
         self.sender.close_idle(server)
         self.registry.mark_leaving(server.incarnation, source="answer")
--- a/src/samphirelug/forwarding_settings.py
+++ b/src/samphirelug/forwarding_settings.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from samphirelug.components.allowance import model as allowance_model
 from samphirelug import core
 
 
@@ -71,3 +72,8 @@
     # Whether the whole system starts for the first time, so that the other
     # hosts are just starting too.
     first_start: bool = False
+    # How far requests may exceed the limits of teams; None if these are not
+    # enforced.
+    allowances: allowance_model.AllowanceBounds | None = None
+    # Address for datagrams about allowances.
+    second_peers: SocketAddress | None = None
--- a/src/samphirelug/result_codes.py
+++ b/src/samphirelug/result_codes.py
@@ -50,6 +50,7 @@
     NO_ENTRY_HOST = 1116
     TOO_MANY_CONNECTIONS = 1117
     RETRY_BUDGET_EMPTY = 1118
+    TEAM_LIMIT = 1119
 
     BACKEND_TIMEOUT = 2001
     BACKEND_RESET = 2002
@@ -104,6 +105,7 @@
 _HTTP_STATUS = {
     ResultCode.OK: 200,
     ResultCode.CREDENTIAL_UNKNOWN: 401,
+    ResultCode.TEAM_LIMIT: 429,
     ResultCode.MALFORMED_REQUEST: 400,
     ResultCode.UNKNOWN_WORK: 404,
     ResultCode.TOKEN_MISSING: 428,
