Let ownership of allowances follow the roster

The owner is now the host that the roster names; a new one hands out a part of the rate until the last one and the fallbacks that it named have ended, and each owner hands out only the share of the hosts that it sees serving, so that both sides of a split stay within the rate. Fallbacks are kept per host instead of per team, so that hosts that ask rarely have nothing set aside.

--- a/src/samphirelug/components/allowance/const.py
+++ b/src/samphirelug/components/allowance/const.py
@@ -8,30 +8,6 @@
 # teams sends to 8 owners, and each owner hears from 62 hosts.
 HOSTS_PER_OWNER = 8
 MAX_OWNERS = 128
-# Number of hosts whose majority decides who owns a partition. It is even, so
-# that majorities before and after the replacement of one host intersect; with
-# six availability zones a majority is left when two of them are lost.
-WITNESSES = 8
-
-# Time for which a witness promises a partition to an owner. It ends before
-# other hosts call the owner absent (fleet.const, 2.75 s).
-LEASE_S = 2.4
-# Interval of renewals; two may be lost.
-LEASE_INTERVAL_S = 0.7
-# Interval of attempts of a host that does not have its leases yet.
-LEASE_RETRY_S = 0.15
-# Time for which a witness tells an owner that another host wants a partition.
-CONTESTED_S = 1.0
-# A witness promises longer than the owner relies on, by the largest rate
-# error of a clock in this time and some rounding.
-LEASE_MARGIN_S = 0.1
-# A host takes partitions only once the witnesses have not changed for this
-# time, in which all hosts learn of a change.
-STABLE_S = 3.0
-# The same while the whole system starts for the first time: hosts register
-# within about a second.
-FIRST_START_STABLE_S = 1.5
-
 # What the bound allows beyond the rate and the burst is divided between the
 # capacity of the bucket, tokens in the stocks of hosts, and the variation of
 # the time between admission and the start at a server.
@@ -48,18 +24,29 @@
 ANSWER_WITHIN_S = 0.25
 # A host falls back after this time without an answer; the owner reserves the
 # rate of the fallback earlier by ANSWER_WITHIN_S.
-FALLBACK_AFTER_S = 0.8
+FALLBACK_AFTER_S = 1.5
 RESERVE_AFTER_S = FALLBACK_AFTER_S - ANSWER_WITHIN_S
 # Duration of a fallback. A new owner has its partitions about 3 s after the
 # death of the last one.
 FALLBACK_S = 4.0
 # Time after the end of an owner in which hosts may use what it named.
 SUCCESSION_S = FALLBACK_AFTER_S + FALLBACK_S
+# A new owner hands out only a part of the rate for this time: the last one
+# may learn later of the change, and go on until then.
+HANDOVER_S = 1.5
+# While the whole system starts for the first time, ownership moves as hosts
+# register. Until the second time owners name no fallbacks, so that until the
+# first one others need not wait for their end.
+FIRST_START_S = 8.0
+FIRST_START_NO_FALLBACK_S = 15.0
 # Smaller teams have no fallback, so that a new owner need not wait for its
 # end. Spread over several hosts, it would be too small to serve anything.
 FALLBACK_MIN_TEAM_PER_S = 8.0
 # Smaller shares of hosts are not named as fallback.
-FALLBACK_MIN_PER_S = 0.5
+FALLBACK_MIN_PER_S = 0.2
+# A host with a fallback asks at least this often. The time of two questions
+# is less than RESERVE_AFTER_S, so that nothing is set aside in calm.
+KEEP_INTERVAL_S = 0.5
 # Largest sum of fallbacks, as a ratio of the rate. A new owner hands out the
 # rest at once.
 FALLBACK_RATIO = 0.8
@@ -73,6 +60,11 @@
 AHEAD_S = 0.25
 # Largest ratio of a token's lifetime that it is asked for ahead.
 AHEAD_LIFETIME_RATIO = 0.5
+# Part of a token's lifetime for whose demand a host takes further tokens if
+# there are plenty.
+EXTRA_LIFETIME_RATIO = 0.7
+# Ratio of the bucket that is left for other hosts.
+PLENTY_RATIO = 0.75
 # A team without requests for this time is no longer asked for.
 IDLE_S = 5.0
 # Interval at which hosts check whether to ask ahead.
--- a/src/samphirelug/components/allowance/holder.py
+++ b/src/samphirelug/components/allowance/holder.py
@@ -39,6 +39,59 @@
     owner: str
 
 
+class OwnerLink:
+    """Hold the last answer of an owner."""
+
+    def __init__(self) -> None:
+        self.asked_at_s = float("-inf")
+        self.confirmed = 0
+        self.generation = 0
+        # Time of the last question that was answered.
+        self.answered_at_s = float("-inf")
+        # Until then, fallbacks of this owner are kept.
+        self.keeps_until_s = float("-inf")
+
+
+class Fallback:
+    """Hold a rate that is left when the owner no longer answers."""
+
+    def __init__(self) -> None:
+        self.owner = ""
+        self.generation = 0
+        self.per_s = 0.0
+        # Number of the question for which it was named.
+        self.number = 0
+        self.from_s = 0.0
+        self.until_s = 0.0
+        # Whether it is used while the owner answers.
+        self.is_used = False
+        self.tokens = 0.0
+        self.refilled_at_s = 0.0
+
+    def is_left(self, now: float) -> bool:
+        """Return whether it has not ended."""
+        return bool(self.per_s) and now < self.until_s
+
+    def set_times(self, sent_at_s: float) -> None:
+        """Set begin and end by the time of an answered question."""
+        if not self.is_used:
+            self.from_s = sent_at_s + const.FALLBACK_AFTER_S
+        self.until_s = sent_at_s + const.SUCCESSION_S
+
+    def try_take(self, now: float) -> bool:
+        """Take a token of it if there is one."""
+        begin_s = max(self.refilled_at_s, self.from_s)
+        end_s = min(now, self.until_s)
+        if now >= self.until_s or end_s <= begin_s:
+            return False
+        self.refilled_at_s = end_s
+        self.tokens = min(1.0, self.tokens + (end_s - begin_s) * self.per_s)
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
 class TeamStock:
     """Hold the tokens of one team that this host may spend."""
 
@@ -58,14 +111,7 @@
         self.refuse_until_s = float("-inf")
         # Until then no other host is asked.
         self.pauses_until_s = float("-inf")
-        self.confirmed = 0
-        # Owner that named the fallback.
-        self.fallback_owner = ""
-        self.fallback_per_s = 0.0
-        self.fallback_from_s = 0.0
-        self.fallback_until_s = 0.0
-        self.fallback_tokens = 0.0
-        self.fallback_at_s = now
+        self.fallback = Fallback()
         self.emergency_at_s = now
         self.last_retry_at_s = float("-inf")
 
@@ -98,37 +144,6 @@
                 sorted(self.tokens, key=lambda item: item[1])
             )
 
-    def has_fallback(self, now: float) -> bool:
-        """Return whether there is a fallback that has not ended."""
-        return bool(self.fallback_per_s) and now < self.fallback_until_s
-
-    def take_fallback(self, now: float) -> Token | None:
-        """Return a token of the fallback, None if it has none now."""
-        begin_s = max(self.fallback_at_s, self.fallback_from_s)
-        end_s = min(now, self.fallback_until_s)
-        if end_s <= begin_s:
-            return None
-        self.fallback_at_s = end_s
-        self.fallback_tokens = min(
-            1.0,
-            self.fallback_tokens + (end_s - begin_s) * self.fallback_per_s,
-        )
-        if self.fallback_tokens < 1.0 or now >= self.fallback_until_s:
-            return None
-        self.fallback_tokens -= 1.0
-        return Token(self.limit.key, now)
-
-    def set_fallback(
-        self, per_s: float, *, from_s: float, until_s: float, owner: str
-    ) -> None:
-        """Replace the fallback."""
-        if not self.limit.has_fallback:
-            per_s = 0.0
-        self.fallback_per_s = per_s
-        self.fallback_from_s = from_s
-        self.fallback_until_s = until_s
-        self.fallback_owner = owner
-
     def add_demand(self, now: float) -> None:
         """Count a request in this host's demand."""
         self.demand_per_s = self.demand(now) + 1.0 / const.DEMAND_TAU_S
@@ -154,6 +169,15 @@
             return 0
         return min(const.MAX_TOKENS, max(0, self.waiting + target - in_stock))
 
+    def extra(self, now: float) -> int:
+        """Return the number of tokens to take if there are plenty."""
+        if self.count(now):
+            return 0
+        demand = self.demand(now) * self.limit.lifetime_s
+        return min(
+            const.MAX_TOKENS, math.ceil(demand * const.EXTRA_LIFETIME_RATIO)
+        )
+
 
 class AllowanceHolder:
     """Decide on requests by the tokens of this host."""
@@ -170,12 +194,9 @@
         self.rng = rng
         self.limits: Mapping[int, model.TeamLimit] = {}
         self.stocks: dict[int, TeamStock] = {}
-        self.serving: frozenset[str] = frozenset()
         # Owners by partition, as of the hosts that serve.
         self.owners: Sequence[str] = ()
-        # Hosts that have answered last, by partition. While an owner hands
-        # over, it is not the one that the plan names.
-        self.last_owners: dict[int, str] = {}
+        self.links: dict[str, OwnerLink] = {}
         # Known entry hosts; None if that is not known.
         self.host_count: int | None = None
         # Open questions by their number.
@@ -196,10 +217,10 @@
                 del self.stocks[key]
                 continue
             ratio = limit.requests_per_s / stock.limit.requests_per_s
-            stock.fallback_per_s *= min(1.0, ratio)
+            stock.fallback.per_s *= min(1.0, ratio)
             stock.limit = limit
             if not limit.has_fallback:
-                stock.fallback_per_s = 0.0
+                stock.fallback.per_s = 0.0
 
     def add_request(self, team: int, *, now: float) -> TeamStock:
         """Count a request of a team with a limit; return the team's stock."""
@@ -212,9 +233,13 @@
 
     def try_take(self, stock: TeamStock, *, now: float) -> Token | None:
         """Return a token, from the stock or what is left without an owner."""
-        token = stock.take(now) or stock.take_fallback(now)
-        if token is not None or not stock.is_unreachable:
+        token = stock.take(now)
+        if token is not None:
             return token
+        if stock.fallback.try_take(now):
+            return Token(stock.limit.key, now)
+        if not stock.is_unreachable:
+            return None
         return self._take_emergency(stock, now)
 
     def _take_emergency(self, stock: TeamStock, now: float) -> Token | None:
@@ -272,7 +297,7 @@
             if (
                 now - stock.demand_at_s > const.IDLE_S
                 and not stock.waiting
-                and not stock.has_fallback(now)
+                and not stock.fallback.is_left(now)
             ):
                 del self.stocks[key]
         return due
@@ -286,12 +311,12 @@
             )
             if now - stock.asked_at_s < resend_s:
                 return None
-            self._note_failure(stock)
-        if not stock.owner or stock.owner not in self.serving:
-            planned = self.owners[stock.limit.partition]
-            stock.owner = self.last_owners.get(stock.limit.partition, planned)
-            if stock.owner not in self.serving:
-                stock.owner = planned
+            stock.asked_at_s = None
+            stock.unanswered += 1
+        planned = self.owners[stock.limit.partition]
+        if stock.owner != planned:
+            stock.owner = planned
+            stock.unanswered = 0
         if now < max(stock.refuse_until_s, stock.pauses_until_s):
             return None
         missing = stock.missing(now)
@@ -301,32 +326,21 @@
             if now - stock.demand_at_s > const.IDLE_S and not stock.waiting:
                 return None
             carried_per_s = (
-                stock.fallback_per_s if stock.has_fallback(now) else 0.0
+                stock.fallback.per_s if stock.fallback.is_left(now) else 0.0
             )
             return model.Want(
-                stock.limit.key, missing, carried_per_s, stock.confirmed
+                stock.limit.key, missing, stock.extra(now), carried_per_s
             )
         if (
-            stock.fallback_per_s
-            and stock.fallback_owner == stock.owner
-            and now - stock.demand_at_s > 1.0
-            and stock.demand(now) < const.FALLBACK_MIN_PER_S
+            stock.fallback.is_left(now)
+            and stock.fallback.owner == stock.owner
+            and now - stock.demand_at_s > const.IDLE_S
         ):
             # Otherwise the owner would set aside what is not needed here.
-            stock.fallback_per_s = 0.0
-            return model.Want(stock.limit.key, 0, 0.0, stock.confirmed)
+            stock.fallback.per_s = 0.0
+            return model.Want(stock.limit.key, 0, 0, 0.0)
         return None
 
-    def _note_failure(self, stock: TeamStock) -> None:
-        """Turn to the other host that may own a team."""
-        stock.asked_at_s = None
-        stock.unanswered += 1
-        planned = self.owners[stock.limit.partition]
-        if stock.owner != planned:
-            stock.owner = planned
-        else:
-            stock.owner = self.last_owners.get(stock.limit.partition, planned)
-
     def ask(
         self, owner: str, wants: list[model.Want], *, now: float
     ) -> model.Ask:
@@ -334,14 +348,25 @@
         self.number += 1
         for want in wants:
             stock = self.stocks[want.team]
-            if want.tokens:
+            if want.tokens or want.extra:
                 stock.asked_at_s = now
             else:
                 # Answers on their way would name a fallback again.
-                stock.confirmed = self.number
-        teams = tuple(want.team for want in wants if want.tokens)
+                stock.fallback.number = self.number
+        teams = tuple(want.team for want in wants if want.tokens or want.extra)
         self.questions[self.number] = Question(now, teams, owner)
-        return model.Ask(self.number, wants)
+        link = self.links.setdefault(owner, OwnerLink())
+        link.asked_at_s = now
+        return model.Ask(self.number, link.confirmed, wants)
+
+    def owners_to_keep(self, *, now: float) -> list[str]:
+        """Return the owners whose fallbacks would begin without a question."""
+        return [
+            name
+            for name, link in self.links.items()
+            if now - link.asked_at_s >= const.KEEP_INTERVAL_S
+            and now < link.keeps_until_s
+        ]
 
     def forget_questions(self, *, now: float) -> None:
         """Forget questions whose answers would come too late."""
@@ -361,6 +386,7 @@
         del self.questions[answer.number]
         if not 0.0 <= now - question.sent_at_s <= const.ANSWER_WITHIN_S:
             return []
+        self._keep_fallbacks(sender, answer, question)
         changed = []
         for grant in answer.grants:
             stock = self.stocks.get(grant.team)
@@ -378,8 +404,9 @@
                 and stock.asked_at_s == question.sent_at_s
             ):
                 # The sender does not own this team.
-                self._note_failure(stock)
-                # Both hosts may deny it while an owner hands over.
+                stock.asked_at_s = None
+                stock.unanswered += 1
+                # It may not know yet that it is the owner.
                 stock.pauses_until_s = now + const.RESEND_S
                 changed.append(stock)
         return changed
@@ -395,21 +422,41 @@
         sent_at_s = question.sent_at_s
         stock.unanswered = 0
         stock.asked_at_s = None
-        stock.owner = question.owner
-        self.last_owners[stock.limit.partition] = question.owner
         if grant.tokens:
             stock.put(grant.tokens, sent_at_s + stock.limit.lifetime_s)
         if grant.refuse_s and not stock.count(now):
             stock.refuse_until_s = now + grant.refuse_s
-        if number <= stock.confirmed:
+        fallback = stock.fallback
+        if number <= fallback.number:
             # A later question was answered first.
             return
-        stock.confirmed = number
-        stock.set_fallback(
-            grant.fallback_per_s,
-            from_s=now
-            if grant.use_fallback
-            else sent_at_s + const.FALLBACK_AFTER_S,
-            until_s=sent_at_s + const.FALLBACK_AFTER_S + const.FALLBACK_S,
-            owner=question.owner,
+        fallback.number = number
+        fallback.owner = question.owner
+        fallback.generation = self.links[question.owner].generation
+        fallback.per_s = (
+            grant.fallback_per_s if stock.limit.has_fallback else 0.0
         )
+        if grant.use_fallback and not fallback.is_used:
+            fallback.from_s = now
+        fallback.is_used = grant.use_fallback
+        fallback.set_times(sent_at_s)
+
+    def _keep_fallbacks(
+        self, owner: str, answer: model.Answer, question: Question
+    ) -> None:
+        """Note that an owner still keeps what it has named."""
+        link = self.links[owner]
+        if answer.number <= link.confirmed:
+            return
+        link.confirmed = answer.number
+        link.generation = answer.generation
+        link.answered_at_s = question.sent_at_s
+        for stock in self.stocks.values():
+            fallback = stock.fallback
+            if (
+                fallback.owner == owner
+                and fallback.generation == answer.generation
+                and fallback.is_left(question.sent_at_s)
+            ):
+                fallback.set_times(question.sent_at_s)
+                link.keeps_until_s = fallback.until_s
--- a/src/samphirelug/components/allowance/io_datagrams.py
+++ b/src/samphirelug/components/allowance/io_datagrams.py
@@ -22,11 +22,8 @@
 KINDS: tuple[type[model.Message], ...] = (
     model.Ask,
     model.Answer,
-    model.LeaseAsk,
-    model.LeaseAnswer,
 )
 MAX_UINT64 = (1 << 64) - 1
-MAX_MASK = (1 << const.PARTITIONS) - 1
 # Rates are sent in requests per 1,000 s, times in milliseconds.
 MILLI = 1000
 
@@ -41,19 +38,21 @@
         message.number,
     ]
     if isinstance(message, model.Ask):
-        fields.append(
+        fields += [
+            message.confirmed,
             [
                 [
                     want.team,
                     want.tokens,
+                    want.extra,
                     math.floor(want.carried_per_s * MILLI),
-                    want.confirmed,
                 ]
                 for want in message.wants
-            ]
-        )
-    elif isinstance(message, model.Answer):
-        fields.append(
+            ],
+        ]
+    else:
+        fields += [
+            message.generation,
             [
                 [
                     grant.team,
@@ -63,12 +62,8 @@
                     math.ceil(grant.refuse_s * MILLI),
                 ]
                 for grant in message.grants
-            ]
-        )
-    elif isinstance(message, model.LeaseAsk):
-        fields += [message.partitions, message.released]
-    else:
-        fields += [message.partitions, message.recent, message.contested]
+            ],
+        ]
     return cbor2.dumps(fields)
 
 
@@ -93,22 +88,16 @@
             raise ValueError("name or incarnation is not a short string")
     sender = model.HostId(name, incarnation)
     _check_int(number, MAX_UINT64)
-    if KINDS[kind] in (model.LeaseAsk, model.LeaseAnswer):
-        masks = [_check_int(value, MAX_MASK) for value in rest]
-        if KINDS[kind] is model.LeaseAsk and len(masks) == 2:
-            return sender, model.LeaseAsk(number, *masks)
-        if KINDS[kind] is model.LeaseAnswer and len(masks) == 3:
-            return sender, model.LeaseAnswer(number, *masks)
-        raise ValueError("the number of fields is wrong")
-    if len(rest) != 1 or not isinstance(rest[0], list):
+    if len(rest) != 2 or not isinstance(rest[1], list):
         raise ValueError("the entries are not a list")
-    if len(rest[0]) > const.MAX_ENTRIES:
+    state = _check_int(rest[0], MAX_UINT64)
+    if len(rest[1]) > const.MAX_ENTRIES:
         raise ValueError("too many entries")
     if KINDS[kind] is model.Ask:
-        wants = [_decode_want(entry) for entry in rest[0]]
-        return sender, model.Ask(number, wants)
+        wants = [_decode_want(entry) for entry in rest[1]]
+        return sender, model.Ask(number, state, wants)
     return sender, model.Answer(
-        number, [_decode_grant(entry) for entry in rest[0]]
+        number, state, [_decode_grant(entry) for entry in rest[1]]
     )
 
 
@@ -118,8 +107,8 @@
     return model.Want(
         team=_check_int(entry[0], MAX_UINT64),
         tokens=_check_int(entry[1], const.MAX_TOKENS),
-        carried_per_s=_check_int(entry[2], MAX_UINT64) / MILLI,
-        confirmed=_check_int(entry[3], MAX_UINT64),
+        extra=_check_int(entry[2], const.MAX_TOKENS),
+        carried_per_s=_check_int(entry[3], MAX_UINT64) / MILLI,
     )
 
 
@@ -130,7 +119,7 @@
         raise ValueError("a field is not a boolean")
     return model.Grant(
         team=_check_int(entry[0], MAX_UINT64),
-        tokens=_check_int(entry[1], const.MAX_TOKENS),
+        tokens=_check_int(entry[1], 2 * const.MAX_TOKENS),
         fallback_per_s=_check_int(entry[2], MAX_UINT64) / MILLI,
         use_fallback=entry[3],
         refuse_s=min(
--- a/src/samphirelug/components/allowance/node.py
+++ b/src/samphirelug/components/allowance/node.py
@@ -6,7 +6,6 @@
 
 from samphirelug.components.allowance import const
 from samphirelug.components.allowance import holder as allowance_holder
-from samphirelug.components.allowance import lease
 from samphirelug.components.allowance import model
 from samphirelug.components.allowance import owner as allowance_owner
 from samphirelug.components.allowance import plan
@@ -32,19 +31,16 @@
         self.holder = allowance_holder.AllowanceHolder(
             slack=bounds.slack, window_s=bounds.window_s, rng=rng
         )
-        self.owner = allowance_owner.AllowanceOwner()
-        self.witness = lease.Witness(started_at_s=now, first_start=first_start)
-        self.leases = lease.LeaseHolder(
-            stable_s=const.FIRST_START_STABLE_S
-            if first_start
-            else const.STABLE_S,
-            first_number=rng.getrandbits(31),
+        self.owner = allowance_owner.AllowanceOwner(
+            # Differs from that before a restart.
+            generation=rng.getrandbits(31)
         )
         self.limits: dict[int, model.TeamLimit] = {}
         # Owners by partition; None while no host is known to serve.
         self.owners: tuple[str, ...] | None = None
-        # Times at which partitions were lost.
-        self.lost_at_s: dict[int, float] = {}
+        # While the whole system starts, there are no earlier owners.
+        self.first_start = first_start
+        self.started_at_s = now
         # Called with stocks that answers have changed.
         self.on_change: Callable[[allowance_holder.TeamStock], None] = (
             lambda _stock: None
@@ -70,26 +66,25 @@
     ) -> None:
         """Set the hosts that serve, and all known; None if these are not."""
         names = list(serving)
-        self.holder.serving = frozenset(names)
         self.owners = plan.assign_owners(names) if names else None
         self.holder.owners = self.owners or ()
         if known is not None:
-            hosts = list(known)
-            self.holder.host_count = len(hosts)
-            self.leases.set_witnesses(plan.choose_witnesses(hosts), now=now)
+            self.holder.host_count = len(list(known))
+            # Hosts out of touch may follow another owner. Each side hands out
+            # its share, so that all together stay within the rate.
+            share = len(names) / max(1, self.holder.host_count, len(names))
+            self.owner.set_share(share, now=now)
 
     def tick(self, *, may_own: bool, now: float) -> list[model.Outgoing]:
         """Return the messages that are due."""
-        wanted = 0
-        if may_own and self.owners is not None:
-            # An owner goes on until its successor is ready.
-            wanted = self.leases.owned(now=now) & ~self.leases.contested()
-            for limit in self.limits.values():
-                if self.owners[limit.partition] == self.own.name:
-                    wanted |= 1 << limit.partition
-        due = self._deliver(self.leases.tick(wanted, now=now), now)
-        self._update_owned(wanted, now)
-        return due + self.ask(now=now)
+        self.owner.names_fallbacks = not self._is_starting(
+            const.FIRST_START_NO_FALLBACK_S, now
+        )
+        self._update_owned(may_own, now)
+        return self.ask(now=now)
+
+    def _is_starting(self, within_s: float, now: float) -> bool:
+        return self.first_start and now - self.started_at_s < within_s
 
     def ask(self, *, now: float) -> list[model.Outgoing]:
         """Return the questions for tokens that are due."""
@@ -98,8 +93,10 @@
             return []
         due = []
         wants_by_owner = self.holder.due_wants(now=now)
+        for owner in self.holder.owners_to_keep(now=now):
+            wants_by_owner.setdefault(owner, [])
         for owner, wants in wants_by_owner.items():
-            for index in range(0, len(wants), const.MAX_ENTRIES):
+            for index in range(0, max(1, len(wants)), const.MAX_ENTRIES):
                 question = self.holder.ask(
                     owner, wants[index : index + const.MAX_ENTRIES], now=now
                 )
@@ -112,12 +109,7 @@
         """Apply a message and return what to send for it."""
         reply: model.Message | None = None
         if isinstance(message, model.Ask):
-            reply = self._answer(sender, message, now)
-        elif isinstance(message, model.LeaseAsk):
-            reply = self.witness.answer(sender, message, now=now)
-        elif isinstance(message, model.LeaseAnswer):
-            self.leases.receive(sender.name, message)
-            self._update_owned(self.leases.wanted, now)
+            reply = self.owner.answer(sender, message, now=now)
         else:
             for stock in self.holder.receive(sender.name, message, now=now):
                 self.on_change(stock)
@@ -125,34 +117,23 @@
             return []
         return [model.Outgoing(sender.name, reply)]
 
-    def _answer(
-        self, sender: model.HostId, ask: model.Ask, now: float
-    ) -> model.Answer | None:
-        wants = [
-            want
-            for want in ask.wants
-            if self.leases.owns(want.team % const.PARTITIONS, now=now)
-        ]
-        return self.owner.answer(sender, ask._replace(wants=wants), now=now)
-
-    def _update_owned(self, wanted: int, now: float) -> None:
+    def _update_owned(self, may_own: bool, now: float) -> None:
         """Begin with new partitions and end with lost ones."""
-        for partition in list(self.owner.owned):
-            if not self.leases.owns(partition, now=now):
-                self.lost_at_s[partition] = now
-                self.owner.drop(partition)
-        for partition in lease.partitions_of(wanted):
-            if partition in self.owner.owned or not (
-                self.leases.owns(partition, now=now)
-            ):
-                continue
-            lost_at_s = self.lost_at_s.get(partition, float("-inf"))
-            waits = self.leases.had_owner(partition) or (
-                now - lost_at_s < const.SUCCESSION_S
-            )
+        owners = self.owners if may_own and self.owners is not None else ()
+        # Limits change rarely; partitions without teams need no owner.
+        wanted = {
+            limit.partition
+            for limit in self.limits.values()
+            if owners and owners[limit.partition] == self.own.name
+        }
+        for partition in self.owner.owned.keys() - wanted:
+            self.owner.drop(partition)
+        for partition in wanted - self.owner.owned.keys():
             self.owner.take_over(
                 partition,
-                wait_s=const.SUCCESSION_S if waits else 0.0,
+                has_predecessor=not self._is_starting(
+                    const.FIRST_START_S, now
+                ),
                 now=now,
             )
 
