Test the bound of allowances under faults, and use all of it

A question that got no tokens is no longer repeated at once, which looped without end on the owner itself while it took over.

The model runs deaths, restarts, suspensions and splits with drawn times.

--- a/src/samphirelug/components/allowance/const.py
+++ b/src/samphirelug/components/allowance/const.py
@@ -69,6 +69,9 @@
 IDLE_S = 5.0
 # Interval at which hosts check whether to ask ahead.
 TICK_S = 0.05
+# A host asks for no tokens ahead for this time after it got none: some of
+# them would expire, while others lack them.
+SCARCE_S = 2.0
 # An unanswered question is repeated after this time: a round trip between
 # regions takes 40 ms.
 RESEND_S = 0.07
--- a/src/samphirelug/components/allowance/holder.py
+++ b/src/samphirelug/components/allowance/holder.py
@@ -109,7 +109,9 @@
         self.asked_at_s: float | None = None
         self.unanswered = 0
         self.refuse_until_s = float("-inf")
-        # Until then no other host is asked.
+        # Until then no tokens are asked for ahead.
+        self.scarce_until_s = float("-inf")
+        # Until then no question is sent.
         self.pauses_until_s = float("-inf")
         self.fallback = Fallback()
         self.emergency_at_s = now
@@ -164,6 +166,8 @@
             const.AHEAD_LIFETIME_RATIO * self.limit.lifetime_s,
         )
         target = math.floor(self.demand(now) * ahead_s)
+        if now < self.scarce_until_s:
+            target = 0
         in_stock = self.count(now)
         if not self.waiting and in_stock * 2 > target:
             return 0
@@ -424,6 +428,11 @@
         stock.asked_at_s = None
         if grant.tokens:
             stock.put(grant.tokens, sent_at_s + stock.limit.lifetime_s)
+        if not grant.tokens:
+            # Otherwise requests that wait would lead to a question at once.
+            stock.pauses_until_s = now + const.RESEND_S
+        if grant.refuse_s:
+            stock.scarce_until_s = now + const.SCARCE_S
         if grant.refuse_s and not stock.count(now):
             stock.refuse_until_s = now + grant.refuse_s
         fallback = stock.fallback
--- a/src/samphirelug/components/allowance/owner.py
+++ b/src/samphirelug/components/allowance/owner.py
@@ -180,7 +180,9 @@
                 want.carried_per_s, self._unnamed_per_s(record, now=now)
             )
             record.name_fallback(fallback_per_s, uses_from_s=now)
-            return model.Grant(want.team, 0, fallback_per_s, True, 0.0)
+            return model.Grant(
+                want.team, 0, fallback_per_s, True, const.MIN_REFUSE_S
+            )
         tokens = self._take(want.tokens)
         tokens += self._take_extra(want.extra)
         record.add_granted(tokens, now=now)
--- a/standins/simulation/allowance.py
+++ b/standins/simulation/allowance.py
@@ -3,6 +3,8 @@
 import bisect
 from collections.abc import Callable
 from collections.abc import Sequence
+import enum
+from functools import partial
 import heapq
 import itertools
 import random
@@ -395,3 +397,138 @@
         name = self.world.rng.choice(self.hosts)
         self.world.hosts[name].request(self.team)
         self._schedule()
+
+
+class FaultKind(enum.StrEnum):
+    """Represent what goes wrong with hosts."""
+
+    KILL = "kill"
+    RESTART = "restart"
+    FREEZE = "freeze"
+    SPLIT = "split"
+    # Only what a host sends is lost.
+    MUTE = "mute"
+
+
+class Fault(NamedTuple):
+    """Hold a fault and its time."""
+
+    kind: FaultKind
+    at_s: float
+    lasts_s: float
+    # Selects the hosts that it concerns.
+    choice: int
+
+
+class FaultRun:
+    """Run hosts with faults, under demand above all limits."""
+
+    def __init__(
+        self,
+        *,
+        hosts: int,
+        teams: Sequence[routing_model.Team],
+        faults: Sequence[Fault],
+        seed: int,
+        load: float = 2.0,
+        loss: float = 0.02,
+        first_start: bool = True,
+    ) -> None:
+        self.world = World(
+            hosts=hosts,
+            teams=teams,
+            seed=seed,
+            loss=loss,
+            first_start=first_start,
+            jitter_s=0.01,
+        )
+        for team in teams:
+            PoissonLoad(
+                world=self.world,
+                team=team.name,
+                requests_per_s=load * team.requests_per_s,
+                hosts=list(self.world.instances),
+            )
+        for fault in faults:
+            self.world.schedule(fault.at_s, partial(self._begin, fault))
+
+    def run(self, seconds: float) -> float:
+        """Return the largest ratio of a window to its bound."""
+        self.world.run(seconds)
+        return self.world.largest_excess()
+
+    def _begin(self, fault: Fault) -> None:
+        world = self.world
+        names = list(world.instances)
+        name = names[fault.choice % len(names)]
+        if fault.kind in (FaultKind.KILL, FaultKind.RESTART):
+            if name in world.killed:
+                return
+            world.kill(name)
+            self._update_views(ABSENT_AFTER_S)
+            if fault.kind is FaultKind.RESTART:
+                world.schedule(fault.lasts_s, partial(self._restart, name))
+        elif fault.kind is FaultKind.FREEZE:
+            world.freeze(name, fault.lasts_s)
+            self._update_views(ABSENT_AFTER_S)
+            world.schedule(
+                fault.lasts_s, partial(self._update_views, PRESENT_AFTER_S)
+            )
+        else:
+            group = {name}
+            if fault.kind is FaultKind.SPLIT:
+                group = {
+                    other
+                    for index, other in enumerate(names)
+                    if fault.choice >> index & 1
+                }
+            cut = {
+                pair
+                for first in group
+                for second in set(names) - group
+                for pair in ((first, second), (second, first))
+                if fault.kind is FaultKind.SPLIT or pair[0] == first
+            }
+            world.cut |= cut
+            self._update_views(ABSENT_AFTER_S)
+            world.schedule(fault.lasts_s, partial(self._mend, cut))
+
+    def _restart(self, name: str) -> None:
+        self.world.restart(name)
+        self._update_views(PRESENT_AFTER_S)
+
+    def _mend(self, cut: set[tuple[str, str]]) -> None:
+        self.world.cut -= cut
+        self._update_views(PRESENT_AFTER_S)
+
+    def _update_views(self, after_s: float) -> None:
+        """Let each host learn of changes, at a time of its own."""
+        for name in self.world.instances:
+            self.world.schedule(
+                after_s * self.world.rng.uniform(0.7, 1.0),
+                partial(self._update_view, name),
+            )
+
+    def _update_view(self, name: str) -> None:
+        """Let a host see those from which it hears."""
+        world = self.world
+        if name in world.killed:
+            return
+        if world.frozen.get(name, 0.0) > world.now_s:
+            world.schedule(
+                world.frozen[name] - world.now_s,
+                partial(self._update_view, name),
+            )
+            return
+        world.hosts[name].see(
+            [
+                other
+                for other in world.instances
+                if other == name
+                or (
+                    other not in world.killed
+                    and world.frozen.get(other, 0.0) <= world.now_s
+                    and (other, name) not in world.cut
+                )
+            ]
+        )
