Hand out what a window of the bounds allows, and admit on credit

Change: the owner hands out up to rate x window + burst and a part of the excess in each window, counted over the window and the lifetime of tokens, with reserved fallbacks; the bucket refills at the rate that this gives.

Result: tests/components/allowance pass (bounds under faults unchanged).

--- a/src/samphirelug/components/allowance/holder.py
+++ b/src/samphirelug/components/allowance/holder.py
@@ -95,7 +95,9 @@
 class TeamStock:
     """Hold the tokens of one team that this host may spend."""
 
-    def __init__(self, *, limit: model.TeamLimit, now: float) -> None:
+    def __init__(
+        self, *, limit: model.TeamLimit, now: float, credit: int = 0
+    ) -> None:
         self.limit = limit
         # Number and end of tokens, in the order in which they end.
         self.tokens: collections.deque[list[float]] = collections.deque()
@@ -116,6 +118,10 @@
         self.fallback = Fallback()
         self.emergency_at_s = now
         self.last_retry_at_s = float("-inf")
+        # Tokens that may be spent before they are handed out, and those that
+        # were; the next answer pays for them.
+        self.credit = credit
+        self.debt = 0
 
     @property
     def is_unreachable(self) -> bool:
@@ -139,7 +145,12 @@
         return Token(self.limit.key, first[1])
 
     def put(self, tokens: int, expires_at_s: float) -> None:
-        """Add tokens."""
+        """Add tokens, of which some pay for those spent on credit."""
+        paid = min(self.debt, tokens)
+        self.debt -= paid
+        tokens -= paid
+        if not tokens:
+            return
         self.tokens.append([tokens, expires_at_s])
         if len(self.tokens) > 1 and self.tokens[-2][1] > expires_at_s:
             self.tokens = collections.deque(
@@ -169,9 +180,10 @@
         if now < self.scarce_until_s:
             target = 0
         in_stock = self.count(now)
-        if not self.waiting and in_stock * 2 > target:
+        due = self.waiting + self.debt
+        if not due and in_stock * 2 > target:
             return 0
-        return min(const.MAX_TOKENS, max(0, self.waiting + target - in_stock))
+        return min(const.MAX_TOKENS, max(0, due + target - in_stock))
 
     def extra(self, now: float) -> int:
         """Return the number of tokens to take if there are plenty."""
@@ -230,7 +242,10 @@
         """Count a request of a team with a limit; return the team's stock."""
         stock = self.stocks.get(team)
         if stock is None:
-            stock = TeamStock(limit=self.limits[team], now=now)
+            limit = self.limits[team]
+            stock = TeamStock(
+                limit=limit, now=now, credit=self._draw_credit(limit)
+            )
             self.stocks[team] = stock
         stock.add_demand(now)
         return stock
@@ -242,9 +257,22 @@
             return token
         if stock.fallback.try_take(now):
             return Token(stock.limit.key, now)
-        if not stock.is_unreachable:
-            return None
-        return self._take_emergency(stock, now)
+        if stock.is_unreachable:
+            return self._take_emergency(stock, now)
+        if stock.debt < stock.credit and now >= max(
+            stock.refuse_until_s, stock.scarce_until_s
+        ):
+            stock.debt += 1
+            return Token(stock.limit.key, now)
+        return None
+
+    def _draw_credit(self, limit: model.TeamLimit) -> int:
+        """Return the tokens that this host may spend on credit.
+
+        Those of all hosts together are the credit of the team on average.
+        """
+        share = limit.credit / max(1, self.host_count or 1)
+        return math.floor(share) + (self.rng.random() < share % 1.0)
 
     def _take_emergency(self, stock: TeamStock, now: float) -> Token | None:
         """Return the one token in a window that a host has without an owner.
--- a/src/samphirelug/components/allowance/model.py
+++ b/src/samphirelug/components/allowance/model.py
@@ -27,9 +27,20 @@
     requests_per_s: float
     # Most tokens that the owner saves up.
     capacity: float
+    # Most tokens that the owner hands out in a time of grant_window_s, within
+    # which those spent in one window of the bounds were handed out.
+    tokens_per_window: float
+    grant_window_s: float
+    # Tokens that all hosts together may spend before they are handed out.
+    credit: float
     # Time from the question within which a token may be spent.
     lifetime_s: float
 
+    @property
+    def refill_per_s(self) -> float:
+        """Return the tokens per second under steady demand."""
+        return self.tokens_per_window / self.grant_window_s
+
     @property
     def partition(self) -> int:
         """Return the partition of the team."""
@@ -51,14 +62,19 @@
     excess = (
         bounds.overage * (rate * bounds.window_s + team.burst) + bounds.slack
     )
+    lifetime_s = min(
+        const.MAX_LIFETIME_S, const.LIFETIME_RATIO * excess / rate
+    )
+    allowance = rate * bounds.window_s + team.burst
     return TeamLimit(
         name=team.name,
         key=xxhash.xxh64_intdigest(team.name.encode()),
         requests_per_s=rate,
         capacity=max(1.0, team.burst + const.CAPACITY_RATIO * excess),
-        lifetime_s=min(
-            const.MAX_LIFETIME_S, const.LIFETIME_RATIO * excess / rate
-        ),
+        tokens_per_window=allowance + const.WINDOW_RATIO * excess,
+        grant_window_s=bounds.window_s + lifetime_s,
+        credit=const.CREDIT_RATIO * excess,
+        lifetime_s=lifetime_s,
     )
 
 
--- a/src/samphirelug/components/allowance/owner.py
+++ b/src/samphirelug/components/allowance/owner.py
@@ -6,6 +6,7 @@
 at which the host may have begun to use it, whether or not it has.
 """
 
+import collections
 from collections.abc import Mapping
 import math
 from typing import NamedTuple
@@ -114,6 +115,34 @@
         self.share = 1.0
         # Time at which the tokens promised to refused hosts are used up.
         self.promised_until_s = now
+        # Tokens handed out or reserved in the last window, by their time.
+        self.handed_out: collections.deque[tuple[float, float]] = (
+            collections.deque()
+        )
+        self.handed_out_sum = 0.0
+
+    def _record_handed_out(self, tokens: float, *, now: float) -> None:
+        if tokens <= 0.0:
+            return
+        if (
+            self.handed_out
+            and now - self.handed_out[-1][0] < const.WINDOW_STEP_S
+        ):
+            at_s, earlier = self.handed_out.pop()
+            self.handed_out.append((at_s, earlier + tokens))
+        else:
+            self.handed_out.append((now, tokens))
+        self.handed_out_sum += tokens
+
+    def _available(self, now: float) -> float:
+        """Return the tokens that the bucket and the window leave."""
+        oldest_s = now - self.limit.grant_window_s - const.WINDOW_STEP_S
+        while self.handed_out and self.handed_out[0][0] <= oldest_s:
+            self.handed_out_sum -= self.handed_out.popleft()[1]
+        if not self.handed_out:
+            self.handed_out_sum = 0.0
+        room = self.limit.tokens_per_window * self.share - self.handed_out_sum
+        return min(self.tokens, max(0.0, room))
 
     def set_limit(self, limit: model.TeamLimit, *, now: float) -> None:
         """Change the limit; a lower one binds at once."""
@@ -151,7 +180,9 @@
                 for record in self.records.values()
                 if record.possible_per_s
             )
-            added += max(0.0, rate * (now - begin_s) - reserved)
+            self._record_handed_out(reserved, now=now)
+            refill_per_s = self.limit.refill_per_s * self.share
+            added += max(0.0, refill_per_s * (now - begin_s) - reserved)
         self.tokens = min(self.limit.capacity, self.tokens + added)
 
     def grant(
@@ -183,8 +214,8 @@
             return model.Grant(
                 want.team, 0, fallback_per_s, True, const.MIN_REFUSE_S
             )
-        tokens = self._take(want.tokens)
-        tokens += self._take_extra(want.extra)
+        tokens = self._take(want.tokens, now=now)
+        tokens += self._take_extra(want.extra, now=now)
         record.add_granted(tokens, now=now)
         fallback_per_s = 0.0
         if names_fallback:
@@ -195,20 +226,25 @@
             refuse_s = self._promise(want.tokens, now=now)
         return model.Grant(want.team, tokens, fallback_per_s, False, refuse_s)
 
-    def _take(self, wanted: int) -> int:
+    def _take(self, wanted: int, *, now: float) -> int:
         """Deduct and return tokens, a part of them if they are scarce."""
-        available = self.tokens
+        all_available = available = self._available(now)
         if wanted > available * const.MAX_TAKE_RATIO:
             available = max(1.0, available * const.MAX_TAKE_RATIO)
-        tokens = min(wanted, math.floor(min(available, self.tokens)))
-        self.tokens -= tokens
+        tokens = min(wanted, math.floor(min(available, all_available)))
+        self._deduct(tokens, now=now)
         return tokens
 
-    def _take_extra(self, wanted: int) -> int:
+    def _deduct(self, tokens: int, *, now: float) -> None:
+        self.tokens -= tokens
+        self._record_handed_out(tokens, now=now)
+
+    def _take_extra(self, wanted: int, *, now: float) -> int:
         """Deduct and return tokens if there are plenty."""
-        plenty = self.tokens - const.PLENTY_RATIO * self.limit.capacity
+        available = self._available(now)
+        plenty = available - const.PLENTY_RATIO * self.limit.capacity
         tokens = max(0, min(wanted, math.floor(plenty)))
-        self.tokens -= tokens
+        self._deduct(tokens, now=now)
         return tokens
 
     def _promise(self, wanted: int, *, now: float) -> float:
