Let new owners hand out half of a rate at once

Cause: after a loss of power of all hosts, teams above 8 requests a second got a fifth of their rate for 7 s, since fallbacks of up to 0.8 of it could be in use.

Change: fallbacks take up to half of a rate, and a new owner hands out the other half at once.

Result: tests/components/allowance pass.

--- a/src/samphirelug/components/allowance/const.py
+++ b/src/samphirelug/components/allowance/const.py
@@ -56,7 +56,7 @@
 KEEP_INTERVAL_S = 0.5
 # Largest sum of fallbacks, as a ratio of the rate. A new owner hands out the
 # rest at once.
-FALLBACK_RATIO = 0.8
+FALLBACK_RATIO = 0.5
 # Time constant of the rate that was granted to a host.
 GRANTED_TAU_S = 1.5
 
