--- a/src/samphirelug/components/forwarding/forwarder.py
+++ b/src/samphirelug/components/forwarding/forwarder.py
@@ -10,6 +10,7 @@
 from returns.result import Success
 import xxhash
 
+from samphirelug.components.allowance import gate
 from samphirelug.components.backend import model as backend_model
 from samphirelug.components.forwarding import const
 from samphirelug.components.forwarding import model
@@ -67,6 +68,7 @@
         host_count: Callable[[], int | None],
         view_age_s: Callable[[], float],
         max_view_age_s: Callable[[], float] = lambda: math.inf,
+        allowance: gate.AllowanceGate | None = None,
     ) -> None:
         self.timer = timer
         self.configuration = configuration
@@ -79,6 +81,7 @@
         self.view_age_s = view_age_s
         # Age beyond which requests that need a key are refused.
         self.max_view_age_s = max_view_age_s
+        self.allowance = allowance or gate.OpenGate()
         self.split = split.WeightedSplit()
         # Time at which this host ends, on its monotonic clock; None while it
         # is not stopping.
@@ -153,7 +156,26 @@
                 "route and team share no allowed region",
                 _spread_s(const.NO_REGION_RETRY_AFTER_S, request),
             )
-        route = team_route
+        admission = await self.allowance.acquire(
+            team=team, now=self.timer.monotonic()
+        )
+        if isinstance(admission, Failure):
+            return admission
+        try:
+            return await self._forward_admitted(
+                request, team_route, route_table, trace
+            )
+        finally:
+            if not trace.reached_server:
+                self.allowance.give_back(admission.unwrap())
+
+    async def _forward_admitted(
+        self,
+        request: model.ReceivedRequest,
+        route: routing_model.Route,
+        route_table: table.RouteTable,
+        trace: request_log.RequestTrace,
+    ) -> RequestResult:
         deadline_at_s = request.received_at_s + min(
             route.timeout_s, const.MAX_REQUEST_S
         )
