--- a/src/samphirelug/components/allowance/const.py
+++ b/src/samphirelug/components/allowance/const.py
@@ -12,12 +12,12 @@
 # capacity of the bucket, tokens in the stocks of hosts, and the variation of
 # the time between admission and the start at a server.
 CAPACITY_RATIO = 0.25
-LIFETIME_RATIO = 0.4
+LIFETIME_RATIO = 0.3
 # Part of it that the owner hands out in one window.
-WINDOW_RATIO = 0.65
+WINDOW_RATIO = 0.5
 # Part of it that hosts may spend before tokens are handed out, so that
 # requests of teams within their limit need not wait for an answer.
-CREDIT_RATIO = 0.25
+CREDIT_RATIO = 0.2
 # Interval over which the tokens handed out are added up.
 WINDOW_STEP_S = 0.1
 # The slack reserved for hosts out of touch with owners.
--- a/tests/components/allowance/test_bound.py
+++ b/tests/components/allowance/test_bound.py
@@ -64,6 +64,28 @@
     assert run.run(RUN_S) <= 1.0
 
 
+def test_windows_around_a_split_stay_within_bound() -> None:
+    """Guard against a share of the excess that leaves nothing for a split.
+
+    With larger ones, this seed was over the bound by 0.014.
+    """
+    run = allowance.FaultRun(
+        hosts=9,
+        teams=(team("small", 2.0), team("mid", 20.0, 10.0), team("big", 100)),
+        faults=[
+            allowance.Fault(
+                allowance.FaultKind.SPLIT,
+                14.668314057776751,
+                11.655933582516763,
+                253,
+            )
+        ],
+        seed=10132,
+        first_start=False,
+    )
+    assert run.run(30.0) <= 1.0
+
+
 def test_owners_of_a_lasting_split_share_the_rate(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
