Let strong hosts own the teams

The owner was a host with 0.43 of a core that carries callers: it answered too late, so that all other hosts held it for unreachable.

Change: owners are chosen among the hosts with at least half of the capacity of the strongest one.

--- a/src/samphirelug/components/allowance/const.py
+++ b/src/samphirelug/components/allowance/const.py
@@ -8,6 +8,8 @@
 # teams sends to 8 owners, and each owner hears from 62 hosts.
 HOSTS_PER_OWNER = 8
 MAX_OWNERS = 128
+# Hosts with less of the capacity of the strongest one own no teams.
+OWNER_CAPACITY_RATIO = 0.5
 # What the bound allows beyond the rate and the burst is divided between the
 # capacity of the bucket, tokens in the stocks of hosts, and the variation of
 # the time between admission and the start at a server.
--- a/src/samphirelug/components/allowance/io_datagrams.py
+++ b/src/samphirelug/components/allowance/io_datagrams.py
@@ -11,6 +11,7 @@
 from samphirelug.components.allowance import const
 from samphirelug.components.allowance import model
 from samphirelug.components.allowance import node as allowance_node
+from samphirelug.components.allowance import plan
 from samphirelug.components.fleet import roster as fleet_roster
 from samphirelug.helpers import addresses
 from samphirelug.helpers import log_rate
@@ -241,9 +242,9 @@
         if known_hosts == self.known_hosts:
             return
         self.known_hosts = known_hosts
-        serving = [host.name for host in self.roster.serving()]
+        serving = self.roster.serving()
         if may_own:
-            serving.append(self.roster.own.name)
+            serving.append(self.roster.own)
         known = None
         if self.roster.listed:
             known = [
@@ -252,7 +253,12 @@
                 if record.unlisted_at_s is None
             ]
             known.append(self.roster.own)
-        self.node.set_hosts(serving=serving, known=known, now=now)
+        self.node.set_hosts(
+            serving=[host.name for host in serving],
+            candidates=plan.strong_hosts(serving),
+            known=known,
+            now=now,
+        )
 
     def _send_all(self, due: list[model.Outgoing]) -> None:
         for outgoing in due:
--- a/src/samphirelug/components/allowance/node.py
+++ b/src/samphirelug/components/allowance/node.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Sequence
 import random
 
 from samphirelug.components.allowance import const
@@ -61,12 +62,20 @@
         self,
         *,
         serving: Iterable[str],
+        candidates: Sequence[str] = (),
         known: Iterable[fleet_model.HostInstance] | None,
         now: float,
     ) -> None:
-        """Set the hosts that serve, and all known; None if these are not."""
+        """Set the hosts that serve, and all known; None if these are not.
+
+        Owners are chosen from the candidates, by default from all that serve.
+        """
         names = list(serving)
-        self.owners = plan.assign_owners(names) if names else None
+        self.owners = (
+            plan.assign_owners(names, candidates=candidates or names)
+            if names
+            else None
+        )
         self.holder.owners = self.owners or ()
         if known is not None:
             self.holder.host_count = len(list(known))
