Send callers with uploads to strong hosts only

Cause: on fleets with weak hosts (0.43 of a core, 5 Mbit/s each way), half of the hosts that look-up answers name are weak, and uploads of 60 KB fill their links.

Change: if the configuration has upload routes, look-up answers leave out hosts with less than half of the capacity of the strongest one of the zone, as long as two are left. Other deployments are served as before.

--- a/src/samphirelug/components/directory/answer.py
+++ b/src/samphirelug/components/directory/answer.py
@@ -20,6 +20,10 @@
 # Share of a zone's hosts that is listed if it exceeds the minimum. The third
 # with the highest capacity has more than a third of the zone's capacity.
 LISTED_SHARE = 1 / 3
+# Least capacity of a host that may carry uploads, as a share of the strongest
+# one in its zone. A few uploads fill the link of a weaker host, and then delay
+# all other requests and messages of that host.
+UPLOAD_CAPACITY_SHARE = 0.5
 # Cost of one request at an entry host. Only the ratio of processor time to
 # bytes matters, since hosts are only compared with each other.
 REQUEST_CPU_S = 0.003
@@ -32,33 +36,58 @@
 
 
 def choose_addresses(
-    hosts: Sequence[model.HostInstance], *, region: str, zone: str
+    hosts: Sequence[model.HostInstance],
+    *,
+    region: str,
+    zone: str,
+    has_uploads: bool = False,
 ) -> list[str]:
     """Return the caller addresses of the nearest entry hosts only.
 
     An entry host in another availability zone causes traffic between zones;
-    one in another region may violate a limit on where a body may be sent.
+    one in another region may violate a limit on where a body may be sent. If
+    callers send uploads, weak hosts are left out where there are others.
     """
     in_zone = [host for host in hosts if host.zone.name == zone]
     if len(in_zone) >= MIN_HOSTS_IN_ZONE:
+        if has_uploads:
+            in_zone = _without_weak(in_zone)
         return _highest_capacity_addresses(in_zone)
     in_region = [host for host in hosts if host.zone.region == region]
     return _highest_capacity_addresses(in_region or hosts)
 
 
-def count_listed(hosts: Sequence[model.HostInstance]) -> int:
+def count_listed(
+    hosts: Sequence[model.HostInstance], *, has_uploads: bool = False
+) -> int:
     """Return the number of hosts that look-up answers of any zone list."""
     return len(
         {
             address
             for zone in {host.zone for host in hosts}
             for address in choose_addresses(
-                hosts, region=zone.region, zone=zone.name
+                hosts,
+                region=zone.region,
+                zone=zone.name,
+                has_uploads=has_uploads,
             )
         }
     )
 
 
+def _without_weak(
+    hosts: Sequence[model.HostInstance],
+) -> list[model.HostInstance]:
+    """Return the hosts that can carry uploads; all if they are too few."""
+    most = max(host.capacity_per_s for host in hosts)
+    strong = [
+        host
+        for host in hosts
+        if host.capacity_per_s >= UPLOAD_CAPACITY_SHARE * most
+    ]
+    return strong if len(strong) >= MIN_HOSTS_IN_ZONE else list(hosts)
+
+
 def _highest_capacity_addresses(
     hosts: Sequence[model.HostInstance],
 ) -> list[str]:
--- a/src/samphirelug/components/routing/table.py
+++ b/src/samphirelug/components/routing/table.py
@@ -20,6 +20,10 @@
         self.team_limits = {
             team.name: team.requests_per_s for team in configuration.teams
         }
+        self.has_uploads = any(
+            route.kind is model.RouteKind.UPLOAD
+            for route in configuration.routes
+        )
         self.by_hostname: dict[str, list[model.Route]] = {}
         for route in configuration.routes:
             self.by_hostname.setdefault(route.hostname.lower(), []).append(
@@ -57,6 +61,11 @@
         """Return the rate that a team may send; 0 if it has no limit."""
         return self.table.team_limits.get(team, 0.0) if self.table else 0.0
 
+    @property
+    def has_uploads(self) -> bool:
+        """Return whether callers send uploads."""
+        return self.table is not None and self.table.has_uploads
+
     @property
     def has_teams(self) -> bool:
         """Return whether callers belong to teams."""
--- a/src/samphirelug/forwarding_host.py
+++ b/src/samphirelug/forwarding_host.py
@@ -128,8 +128,8 @@
             ),
         )
         # Number of hosts that look-up answers list, as of a generation of the
-        # roster.
-        self.listed_hosts: tuple[int, int] = (-1, 0)
+        # roster and a version of the configuration.
+        self.listed_hosts: tuple[tuple[int, int], int] = ((-1, 0), 0)
         resources = settings.resources
         held_limit_bytes = connection_account.held_limit_bytes(
             resources.memory_bytes
@@ -286,7 +286,10 @@
         if self.ready:
             hosts.append(self.roster.own)
         return directory_answer.choose_addresses(
-            hosts, region=region, zone=zone
+            hosts,
+            region=region,
+            zone=zone,
+            has_uploads=self.configuration.has_uploads,
         )
 
     def _listed_hosts(self) -> int | None:
@@ -296,13 +299,15 @@
         """
         if self.roster.count is None:
             return None
-        generation = self.roster.generation
+        generation = (self.roster.generation, self.configuration.version)
         if self.listed_hosts[0] != generation:
             hosts = [record.host for record in self.roster.records.values()]
             hosts.append(self.roster.own)
             self.listed_hosts = (
                 generation,
-                directory_answer.count_listed(hosts),
+                directory_answer.count_listed(
+                    hosts, has_uploads=self.configuration.has_uploads
+                ),
             )
         return self.listed_hosts[1]
 
--- a/tests/components/directory/test_answer.py
+++ b/tests/components/directory/test_answer.py
@@ -80,3 +80,27 @@
     large_zone = [host(f"h{n}", "a1", float(n)) for n in range(30)]
     assert answer.count_listed(large_zone) == 10
     assert answer.count_listed([*large_zone, host("h31", "b1")]) == 11
+
+
+def test_weak_hosts_carry_no_uploads() -> None:
+    """Guard against links of weak hosts that a few uploads fill.
+
+    Their messages to other hosts were late then, and requests were refused.
+    """
+    strong = [host(f"s{number}", "a1", 700.0) for number in range(2)]
+    weak = [host(f"w{number}", "a1", 140.0) for number in range(6)]
+    hosts = [*weak, *strong]
+    assert answer.choose_addresses(
+        hosts, region="a", zone="a1", has_uploads=True
+    ) == ["s0", "s1"]
+    assert len(answer.choose_addresses(hosts, region="a", zone="a1")) == 4
+    # A caller needs a second host.
+    assert (
+        len(
+            answer.choose_addresses(
+                hosts[:-1], region="a", zone="a1", has_uploads=True
+            )
+        )
+        == 4
+    )
+    assert answer.count_listed(hosts, has_uploads=True) == 2
