Read the body of a request that offers an upgrade

Callers with a body and an offer such as "Upgrade: h2c" got 200 although the server had run the request with an empty body.

Cause: httptools ends such a request at its head and raises HttpParserUpgrade, as what follows would be another protocol. The parser of requests took that for the end of the request, also if its head declared a body. The trace of the HTTP parser alone shows the end of the message before the body, with the body's first byte as the start of the rest.

Change: if the head has Content-Length or Transfer-Encoding, a new HTTP parser is set up with these fields and without the offer, and reads the body. So limits, chunks, trailers and malformed framing are handled as elsewhere. The same holds for CONNECT, which the HTTP parser ends in the same way.

--- a/src/samphirelug/components/http/request_parser.py
+++ b/src/samphirelug/components/http/request_parser.py
@@ -16,6 +16,8 @@
 
 
 _LINE_END = re.compile(b"\n")
+# Header fields that say whether and how a body follows.
+_FRAMING_FIELDS = frozenset(("content-length", "transfer-encoding"))
 
 
 def length_of_requests(data: bytes, *, max_requests: int) -> int:
@@ -89,6 +91,9 @@
         self.framing_bytes = 0
         # Whether a body is being received.
         self.has_head = False
+        # Whether a parser is being set up to read the body of a request whose
+        # head another one has read.
+        self.is_resuming = False
         self._reset()
 
     @property
@@ -130,10 +135,13 @@
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
-            # The request is complete, and is served without the upgrade. The
-            # bytes behind it are the next request.
-            self.parser = httptools.HttpRequestParser(self)
+            # The request is served without the upgrade. The bytes behind it
+            # are its body, if it has one, or the next request.
             offset: int = error.args[0]
+            if self.has_unread_body:
+                self._resume_with_body()
+            else:
+                self.parser = httptools.HttpRequestParser(self)
             if offset < len(data):
                 self._parse(data[offset:])
         except httptools.HttpParserCallbackError as error:
@@ -143,8 +151,34 @@
         except httptools.HttpParserError as error:
             raise RequestError(status=400) from error
 
+    def _resume_with_body(self) -> None:
+        """Replace the HTTP parser by one that reads the request's body."""
+        head = self._render_framing()
+        self.parser = httptools.HttpRequestParser(self)
+        self.is_resuming = True
+        self._parse(head)
+        self.is_resuming = False
+        self.has_unread_body = False
+
+    def _render_framing(self) -> bytes:
+        """Return a head without an offer that the same body may follow."""
+        lines = [f"POST / HTTP/{self.parser.get_http_version()}"]
+        lines += [
+            f"{name}: {value}"
+            for name, value in self.headers
+            if name.lower() in _FRAMING_FIELDS
+        ]
+        keep_alive = self.parser.should_keep_alive()
+        persistence = "keep-alive" if keep_alive else "close"
+        lines.append(f"Connection: {persistence}")
+        return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
     def _reset(self) -> None:
+        self.method = ""
         self.target = b""
+        # Whether the HTTP parser has reported the end of the request in place
+        # of its body, as it does with requests that offer an upgrade.
+        self.has_unread_body = False
         self.headers: list[tuple[str, str]] = []
         # Names and values of fields as received, with their lengths, until
         # the head is complete: short fields take ten times more once decoded.
@@ -161,11 +195,15 @@
 
     def on_message_begin(self) -> None:
         """Begin a request."""
+        if self.is_resuming:
+            return
         self._reset()
         self.started_at_s = self.timer.monotonic()
 
     def on_url(self, url: bytes) -> None:
         """Add a part of the target."""
+        if self.is_resuming:
+            return
         self.target += url
         self._count_header_bytes(len(url))
 
@@ -175,6 +213,8 @@
         Such a trailer field must not take the place of a header field, as its
         sender may not be the one that wrote the head.
         """
+        if self.is_resuming:
+            return
         self._count_header_bytes(len(name) + len(value) + 4)
         if self.has_head:
             return
@@ -183,9 +223,15 @@
         self.raw_lengths.extend((len(name), len(value)))
 
     def on_headers_complete(self) -> None:
-        """Record whether the caller waits for "100 Continue"."""
+        """Record what the head says of the request and its body."""
+        if self.is_resuming:
+            return
         self.has_head = True
         self._decode_fields()
+        self.method = self.parser.get_method().decode("latin-1")
+        self.has_unread_body = self.parser.should_upgrade() and any(
+            name.lower() in _FRAMING_FIELDS for name, _ in self.headers
+        )
         self.expects_continue = any(
             name.lower() == "expect" and "100-continue" in value.lower()
             for name, value in self.headers
@@ -202,9 +248,11 @@
 
     def on_message_complete(self) -> None:
         """Add the complete request to the list."""
+        if self.has_unread_body and not self.is_resuming:
+            return
         self.framing_bytes = 0
         message = CallerMessage(
-            method=self.parser.get_method().decode("latin-1"),
+            method=self.method,
             target=self.target.decode("latin-1"),
             headers=tuple(self.headers),
             body=self.buffer.to_bytes(),
