Ignore status reports of servers that the store carries out late

Cause: the registry ordered a server's entries by the store's revision alone. The store may carry out a write without an answer seconds later, so that an older report "ready" came behind "draining". It was taken for a change of mind, which also dropped what the server had said in its answers. The number of the report was not read. With the number and the start in the log line of a changed server, a soak without the guard shows reports 1, 3, 2 and 4 of the same start, in this order.

Change: a report with a lower number than the last known one of the same start changes nothing and is logged. Without a time of start nothing can be ordered, and the entry in the store holds as before.

--- a/src/samphirelug/components/fleet/model.py
+++ b/src/samphirelug/components/fleet/model.py
@@ -30,6 +30,9 @@
     # End of the cold start on this entry host's monotonic clock. 0 if the
     # server was not cold when its object was decoded.
     cold_until_s: float
+    # Number of the server's report that this entry shows; rises with each
+    # report of an incarnation. 0 if the server does not number its reports.
+    report_number: int = 0
 
     @property
     def incarnation(self) -> Incarnation:
--- a/src/samphirelug/components/fleet/registry.py
+++ b/src/samphirelug/components/fleet/registry.py
@@ -33,6 +33,10 @@
         # "ready", or one that is written again after an outage, does not
         # make them usable.
         self.leaving: dict[model.Incarnation, None] = {}
+        # Number of the last report of each incarnation that was draining when
+        # its entry went, oldest first. The store may carry out an earlier
+        # report after that.
+        self.last_reports: dict[model.Incarnation, int] = {}
         # Incremented whenever the usable servers may have changed.
         self.generation = 0
         self.usable_by_service: dict[str, list[model.ServerInstance]] = {}
@@ -82,12 +86,29 @@
             listener(incarnation)
 
     def put(self, server: model.ServerInstance, *, source: str) -> None:
-        """Add or replace a server."""
+        """Add or replace a server, unless its report is an outdated one."""
         previous = self.servers.get(server.instance_id)
+        # An outdated report, too, shows that the entry exists.
         self.missing_until_s.pop(server.instance_id, None)
-        if previous == server:
+        last_report = self._last_report(server, previous)
+        if server.report_number < last_report:
+            _LOGGER.info(
+                "ignored an outdated report of a backend server",
+                extra={
+                    "server": server.instance_id,
+                    "started_unix_ms": server.started_unix_ms,
+                    "draining": server.draining,
+                    "report_number": server.report_number,
+                    "last_report": last_report,
+                    "source": source,
+                },
+            )
             return
         self.servers[server.instance_id] = server
+        if previous is not None and previous == server._replace(
+            report_number=previous.report_number
+        ):
+            return
         if (
             previous is not None
             and previous.incarnation == server.incarnation
@@ -97,7 +118,7 @@
             # The server has changed its mind, after what it said in answers.
             self.leaving.pop(server.incarnation, None)
         if previous is not None and previous.incarnation != server.incarnation:
-            self._notify_removed(previous)
+            self._forget(previous)
         self._rebuild_usable()
         if self.applying_list and previous is None:
             return
@@ -109,6 +130,8 @@
                 "zone": server.zone.name,
                 "draining": server.draining,
                 "cold_until_s": round(server.cold_until_s, 3),
+                "started_unix_ms": server.started_unix_ms,
+                "report_number": server.report_number,
                 "known": previous is not None,
                 "source": source,
             },
@@ -194,7 +217,7 @@
             # A later start under the same id would look like this one.
             self.leaving.pop(server.incarnation, None)
         self._rebuild_usable()
-        self._notify_removed(server)
+        self._forget(server)
         _LOGGER.info(
             "backend server removed",
             extra={
@@ -205,7 +228,27 @@
             },
         )
 
-    def _notify_removed(self, server: model.ServerInstance) -> None:
+    def _last_report(
+        self,
+        server: model.ServerInstance,
+        previous: model.ServerInstance | None,
+    ) -> int:
+        """Return the number of the server's last known report, else 0."""
+        if not (server.started_unix_ms and server.report_number):
+            # After a restart, the numbers start anew.
+            return 0
+        if previous is not None and (
+            previous.incarnation == server.incarnation
+        ):
+            return previous.report_number
+        return self.last_reports.get(server.incarnation, 0)
+
+    def _forget(self, server: model.ServerInstance) -> None:
+        """Keep no more of a removed incarnation than its last report."""
+        if server.draining and server.started_unix_ms:
+            self.last_reports[server.incarnation] = server.report_number
+            while len(self.last_reports) > MAX_LEAVING:
+                del self.last_reports[next(iter(self.last_reports))]
         for listener in self.on_removed:
             listener(server)
 
--- a/standins/forwarding.py
+++ b/standins/forwarding.py
@@ -107,6 +107,7 @@
     draining: bool = False,
     cold_until_s: float = 0.0,
     started_unix_ms: int = 1,
+    report_number: int = 0,
 ) -> fleet_model.ServerInstance:
     """Return a backend server."""
     return fleet_model.ServerInstance(
@@ -118,6 +119,7 @@
         slots=slots,
         draining=draining,
         cold_until_s=cold_until_s,
+        report_number=report_number,
     )
 
 
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -20,6 +20,10 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 READY_TIMEOUT_S = 60.0
 READY_POLL_S = 0.1
+# Time after which the store carries out a report that got no answer.
+LATE_REPORT_S = 4.0
+# Time between two reports of a server.
+REPORT_INTERVAL_S = 1.5
 # Region by availability zone.
 ZONES = {"a1": "a", "a2": "a"}
 
@@ -117,6 +121,11 @@
         return await self.process.wait()
 
 
+def server_status(state: str, *, sequence: int) -> dict[str, object]:
+    """Return the status in the entry of a server."""
+    return {"State": state, "Sequence": sequence, "ColdRemaining": "0ms"}
+
+
 class World:
     """Run a store, backend servers and entry hosts for one soak."""
 
@@ -203,7 +212,9 @@
         self.proxies[instance_id] = server_proxy
         self.write_server_entry(instance_id, "ready")
 
-    def write_server_entry(self, instance_id: str, state: str) -> None:
+    def write_server_entry(
+        self, instance_id: str, state: str, *, sequence: int = 1
+    ) -> None:
         """Write the server's entry in the store."""
         self.store.put(
             "servers",
@@ -216,16 +227,36 @@
                     "Zone": self.rng.choice(sorted(ZONES)),
                     "MaxConcurrency": 4,
                 },
-                "Status": {"State": state, "ColdRemaining": "0ms"},
+                "Status": server_status(state, sequence=sequence),
             },
         )
 
+    def report_status(
+        self, instance_id: str, state: str, sequence: int
+    ) -> None:
+        """Write the status in a server's entry."""
+        spec = self.store.objects["servers", instance_id]["Spec"]
+        status = server_status(state, sequence=sequence)
+        self.store.put("servers", instance_id, {**spec, "Status": status})
+
     def drain_server(self) -> None:
-        """Mark the oldest server as draining."""
+        """Mark the oldest server as draining.
+
+        The store carries out an earlier report of it late.
+        """
         instance_id = next(iter(self.servers))
         server = self.servers.pop(instance_id)
-        self.write_server_entry(instance_id, "draining")
+        self.write_server_entry(instance_id, "draining", sequence=3)
         server.handler.drain_started_s = time.monotonic()
+        call_later = asyncio.get_running_loop().call_later
+        call_later(LATE_REPORT_S, self.report_status, instance_id, "ready", 2)
+        call_later(
+            LATE_REPORT_S + REPORT_INTERVAL_S,
+            self.report_status,
+            instance_id,
+            "draining",
+            4,
+        )
 
     def change_configuration(self) -> None:
         """Write the next version of the configuration."""
--- a/tests/platform_adapter/test_objects.py
+++ b/tests/platform_adapter/test_objects.py
@@ -118,6 +118,7 @@
     assert server.slots == 3
     assert not server.draining
     assert server.cold_until_s == 101.5
+    assert server.report_number == 4
 
 
 @pytest.mark.parametrize(
@@ -132,6 +133,8 @@
         ("Address", 17),
         ("Address", "10.0.0.1"),
         ("born", "soon"),
+        ("Status.Sequence", "4"),
+        ("Status.Sequence", -1),
     ],
 )
 def test_object_that_is_no_server_entry_is_rejected(
