Take answers with a status outside the protocol as no answers

A server in trouble may answer with status 000. Callers got what came behind such an answer on the connection as the answer to their request, or waited for their deadline; with status 600 or 999 they got it as it was, and the mark "not run" in it was believed.

Cause: the HTTP parsers accept any three digits, and the code compared the status with 200 only: lower ones are interim answers, all others final ones. On the product's own interface, 000 raised an unexpected error.

Change: a status outside 100 to 599 ends the parsing of the connection, on both paths. The outcome of the request is unknown then, so that only requests that may run again are repeated.

Result: 14 cases failed before the change (8 with real sockets on the path through routes, 4 of the parser, 2 of the own interface), none after it; the tests of components/http and components/backend pass.

--- a/src/samphirelug/components/backend/io_client.py
+++ b/src/samphirelug/components/backend/io_client.py
@@ -111,6 +111,8 @@
     ) -> None:
         """Handle refusals; reject answers whose end cannot be detected."""
         assert isinstance(start_line, httputil.ResponseStartLine)
+        if start_line.code not in http_fields.VALID_STATUSES:
+            self._reject(f"status {start_line.code} is not valid")
         if start_line.code < 200:
             return
         self.start_line = start_line
--- a/src/samphirelug/components/http/response_parser.py
+++ b/src/samphirelug/components/http/response_parser.py
@@ -7,6 +7,7 @@
 from samphirelug.components.http import body_buffer
 from samphirelug.components.http import const
 from samphirelug.components.http import held_memory
+from samphirelug.helpers import http_fields
 
 # Responses with a lower status are interim; the final response follows.
 FIRST_FINAL_STATUS = 200
@@ -148,11 +149,15 @@
         self.current.field_bytes += body_buffer.field_size(field)
 
     def on_headers_complete(self) -> None:
-        """Record the status; a final response to HEAD is complete now."""
+        """Check the status; a final response to HEAD is complete now."""
         if self.current is None:
             return
         self.current.has_headers = True
         self.current.status = int(self.parser.get_status_code())
+        if self.current.status not in http_fields.VALID_STATUSES:
+            self.error = f"status {self.current.status} is not valid"
+            self.current = None
+            return
         if self.is_head and self.current.status >= FIRST_FINAL_STATUS:
             self.completed.append(self.current)
             self.current = None
--- a/src/samphirelug/helpers/http_fields.py
+++ b/src/samphirelug/helpers/http_fields.py
@@ -1,4 +1,4 @@
-"""Select the header fields that a proxy forwards, and read their values."""
+"""Select the fields of messages that a proxy forwards, and check values."""
 
 from collections.abc import Iterable
 
@@ -16,7 +16,8 @@
         "upgrade",
     )
 )
-
+# A client must not interpret others (RFC 9110, section 15).
+VALID_STATUSES = range(100, 600)
 
 # Characters of field names other than letters, digits and the hyphen. Servers
 # that pass fields on as variables replace them, most of them the underscore.
--- a/tests/components/backend/test_io_client.py
+++ b/tests/components/backend/test_io_client.py
@@ -141,6 +141,18 @@
         raw_server.scripted(OK_HEAD + b"Content-Length: 1001\r\n\r\n"),
         FailureKind.TOO_LARGE,
     ),
+    (
+        raw_server.scripted(
+            b"HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\nok"
+        ),
+        FailureKind.INCOMPLETE,
+    ),
+    (
+        raw_server.scripted(
+            b"HTTP/1.1 600 Odd\r\nContent-Length: 2\r\n\r\nok"
+        ),
+        FailureKind.INCOMPLETE,
+    ),
     (stream_endlessly, FailureKind.TOO_LARGE),
     (stall, FailureKind.TIMEOUT),
     (answer_late, FailureKind.TIMEOUT),
--- a/tests/components/http/test_misbehaving_servers.py
+++ b/tests/components/http/test_misbehaving_servers.py
@@ -175,6 +175,27 @@
         assert pool.failure_kind(results[-1]) in (Kind.RESET, Kind.INCOMPLETE)
 
 
+@pytest.mark.parametrize("status", [b"000", b"099", b"600", b"999"])
+@pytest.mark.parametrize("is_refusal", [False, True])
+def test_status_outside_the_protocol_is_no_answer(
+    status: bytes, is_refusal: bool
+) -> None:
+    """Guard against a caller that gets such a status as its answer.
+
+    Neither may it hide that the answer has come, nor what comes behind it be
+    taken for the answer.
+    """
+    answer = refusal("r1") if is_refusal else pool.answer("r1")
+    invalid = answer.replace(answer[9:12], status, 1)
+    results, server = run_attempts(
+        answers(invalid + pool.answer("r1"), pool.answer("r2")),
+        {},
+        {"request_id": "r2"},
+    )
+    assert pool.failure_kind(results[0]) is Kind.INCOMPLETE
+    assert server.connections == 2
+
+
 LEAVING = "X-Leaving: 1\r\n"
 
 
--- a/tests/components/http/test_response_parser.py
+++ b/tests/components/http/test_response_parser.py
@@ -43,6 +43,18 @@
     assert not parser.is_at_boundary
 
 
+@pytest.mark.parametrize("status", [b"000", b"099", b"600", b"999"])
+def test_status_outside_the_protocol_ends_the_parsing(status: bytes) -> None:
+    """Guard against an answer that is skipped or passed on as it is."""
+    parser = parse(WITH_LENGTH + WITH_LENGTH.replace(b"200", status) + CHUNKED)
+    assert bodies(parser) == [b"ok"]
+    assert parser.error == f"status {int(status)} is not valid"
+    assert not parser.too_large
+    assert not parser.held_bytes - sum(
+        response.held_bytes for response in parser.completed
+    )
+
+
 def test_body_without_a_length_is_complete_at_an_orderly_close() -> None:
     """Guard against taking a truncated body for a complete one."""
     parser = parse(b"HTTP/1.1 200 OK\r\n\r\nabc")
