Take a change of protocol that nobody asked for as a broken answer

A request whose server answered 101 ended as an unexpected error of the host.

Cause: the HTTP parser raises HttpParserUpgrade for such an answer, which is no HttpParserError, so that the parser of answers did not expect it.

Change: it ends the parsing of the connection like other broken answers.

Result: both cases of test_change_of_protocol_is_no_answer raised HttpParserUpgrade before the change and pass now; tests of components/http pass.

--- a/src/samphirelug/components/http/response_parser.py
+++ b/src/samphirelug/components/http/response_parser.py
@@ -86,6 +86,10 @@
         self.received_bytes += len(data)
         try:
             self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # No request offers an upgrade.
+            self.error = self.error or "a change of protocol was not requested"
+            return
         except httptools.HttpParserError as error:
             self.error = self.error or str(error) or type(error).__name__
             return
--- a/tests/components/http/test_misbehaving_servers.py
+++ b/tests/components/http/test_misbehaving_servers.py
@@ -196,6 +196,22 @@
     assert server.connections == 2
 
 
+@pytest.mark.parametrize("reused", [False, True])
+def test_change_of_protocol_is_no_answer(reused: bool) -> None:
+    """Guard against an unexpected error for an upgrade nobody asked for."""
+    switching = (
+        b"HTTP/1.1 101 Switching\r\nX-Request-Id: r1\r\nX-Seal: s\r\n"
+        b"Connection: upgrade\r\nUpgrade: h2c\r\n\r\n"
+    )
+    first = (pool.answer("r0"),) if reused else ()
+    results, _ = run_attempts(
+        answers(*first, switching + pool.answer("r1")),
+        *({"request_id": "r0"} for _ in first),
+        {},
+    )
+    assert pool.failure_kind(results[-1]) is Kind.INCOMPLETE
+
+
 LEAVING = "X-Leaving: 1\r\n"
 
 
