Follow a store that comes back from an older copy

Hosts stopped following the store for good when it came back from a copy whose revisions were lower than those seen before: each list was refused as older. Where writes took the revisions past the old ones, changes were mixed up.

Cause: everything was ordered by bare revisions, which the store gives out again after such a drill. The era in its answers (Store-Era) was not read.

Change: views, lists, watches, frames and datagrams hold positions, an era and a revision in one number (store/position.py). A list of a later era replaces a view; a watch never continues in another era; followers get all objects once. Until owners have written again, hosts keep what they knew: servers and evacuations that the copy lacks for 2.3 s, hosts for 6 s; servers that had been removed stay out of use for 6 s or until they write again; a host whose entry is missing, or is that of an earlier start, registers again. A conditional removal is bound to its era.

--- a/benchmarks/capacity_following.py
+++ b/benchmarks/capacity_following.py
@@ -95,6 +95,9 @@
 
 
 class _IgnoringConsumer(store_view.ObjectConsumer):
+    def begin_era(self) -> None:
+        """Ignore the era."""
+
     def replace_all(self, objects: object, *, grace_s: float) -> None:
         """Ignore the objects."""
 
--- a/benchmarks/keys.py
+++ b/benchmarks/keys.py
@@ -72,6 +72,7 @@
         client = store.PlatformStore(
             transport=_OneAnswer(body),
             metrics=forwarding_metrics.ForwardingMetrics(),
+            timer=timer_helper.ManualTimerService(),
         )
         listing = asyncio.run(client.list(KIND)).unwrap()
         self.view.replace_all(listing, grace_s=0.0)
--- a/src/samphirelug/components/fleet/consumers.py
+++ b/src/samphirelug/components/fleet/consumers.py
@@ -32,6 +32,12 @@
         self.decoder = decoder
         self.timer = timer
 
+    def begin_era(self) -> None:
+        """Do nothing, since a version in force is never followed by an older.
+
+        The operators write the newer version again.
+        """
+
     def replace_all(
         self,
         objects: Sequence[store_model.StoredObject],
@@ -85,6 +91,17 @@
         self.registry = registry
         self.decoder = decoder
         self.timer = timer
+        # Entries of servers that had been removed before the store came back
+        # from an older copy, until their owners write them again.
+        self.held: dict[str, store_model.StoredObject] = {}
+        self.held_until_s = float("-inf")
+
+    def begin_era(self) -> None:
+        """Hold back servers that the next list shows again."""
+        self.held_until_s = self.timer.monotonic() + store_view.ERA_HOLD_S
+        self.timer.call_at(
+            when_s=self.held_until_s, callback=self._release_held
+        )
 
     def replace_all(
         self,
@@ -93,9 +110,19 @@
         grace_s: float,
     ) -> None:
         """Apply a complete list of objects."""
-        servers = [self._decode(stored) for stored in objects]
+        is_holding = self.timer.monotonic() < self.held_until_s
+        self.held.clear()
+        servers = []
+        for stored in objects:
+            server = self._decode(stored)
+            if server is None:
+                continue
+            if is_holding and self.registry.has_removed(server):
+                self.held[stored.key] = stored
+            else:
+                servers.append(server)
         self.registry.replace_all(
-            [server for server in servers if server is not None],
+            servers,
             now=self.timer.monotonic(),
             grace_s=grace_s,
             source=SOURCE,
@@ -104,6 +131,7 @@
 
     def upsert(self, stored: store_model.StoredObject) -> None:
         """Put the decoded server; remove it if its object is malformed."""
+        self.held.pop(stored.key, None)
         server = self._decode(stored)
         if server is not None:
             self.registry.put(server, source=SOURCE)
@@ -112,6 +140,7 @@
 
     def remove(self, name: str, *, grace_s: float) -> None:
         """Remove a server, after the grace period if it is not 0."""
+        self.held.pop(name, None)
         self.registry.remove(
             name,
             now=self.timer.monotonic(),
@@ -120,6 +149,13 @@
         )
         self._schedule_expiry(grace_s)
 
+    def _release_held(self) -> None:
+        """Put the servers whose entries the store still shows."""
+        if self.timer.monotonic() < self.held_until_s:
+            return
+        for stored in list(self.held.values()):
+            self.upsert(stored)
+
     def _schedule_expiry(self, grace_s: float) -> None:
         """Schedule the removal of servers missing after the grace period."""
         if not grace_s:
@@ -155,6 +191,20 @@
     ) -> None:
         self.registry = registry
         self.timer = timer
+        # Zones that the store shows as evacuated.
+        self.listed: frozenset[str] = frozenset()
+        # Zones that were evacuated before the store came back from an older
+        # copy, until the operators have written that again.
+        self.held: frozenset[str] = frozenset()
+        self.held_until_s = float("-inf")
+
+    def begin_era(self) -> None:
+        """Hold the present evacuations, which the next list may lack."""
+        self.held = self.registry.evacuated_zones
+        self.held_until_s = self.timer.monotonic() + store_view.ERA_GRACE_S
+        self.timer.call_at(
+            when_s=self.held_until_s, callback=self._release_held
+        )
 
     def replace_all(
         self,
@@ -164,20 +214,27 @@
     ) -> None:
         """Apply a complete list of objects."""
         del grace_s
-        self._set_evacuated(frozenset(stored.key for stored in objects))
+        self._set_listed(frozenset(stored.key for stored in objects))
 
     def upsert(self, stored: store_model.StoredObject) -> None:
         """Mark an availability zone as evacuated."""
-        self._set_evacuated(self.registry.evacuated_zones | {stored.key})
+        self._set_listed(self.listed | {stored.key})
 
     def remove(self, name: str, *, grace_s: float) -> None:
         """End the evacuation of an availability zone."""
         del grace_s
-        self._set_evacuated(self.registry.evacuated_zones - {name})
+        self.held -= {name}
+        self._set_listed(self.listed - {name})
+
+    def _release_held(self) -> None:
+        if self.timer.monotonic() >= self.held_until_s:
+            self.held = frozenset()
+            self._set_listed(self.listed)
 
-    def _set_evacuated(self, zones: frozenset[str]) -> None:
+    def _set_listed(self, zones: frozenset[str]) -> None:
+        self.listed = zones
         self.registry.set_evacuated(
-            zones, now=self.timer.monotonic(), source=SOURCE
+            zones | self.held, now=self.timer.monotonic(), source=SOURCE
         )
 
 
--- a/src/samphirelug/components/fleet/enrolment.py
+++ b/src/samphirelug/components/fleet/enrolment.py
@@ -8,6 +8,7 @@
 from samphirelug.components.fleet import host_entries
 from samphirelug.components.fleet import io_datagrams
 from samphirelug.components.store import feed as store_feed
+from samphirelug.components.store import position
 from samphirelug.components.store import view as store_view
 from samphirelug.helpers import timer as timer_helper
 
@@ -39,8 +40,9 @@
         self.view = view
         self.timer = timer
         self.first_start = first_start
-        # Revision of this host's entry; 0 before it is registered.
-        self.entry_revision = 0
+        # Position of the last write of this host's entry; 0 before it is
+        # registered.
+        self.entry_position = 0
         self.entry_exists = False
         # Whether this host has removed its entry, since it stops.
         self.deregistered = False
@@ -58,11 +60,11 @@
             # The entries may be outdated: they serve to find hosts to follow,
             # and the current ones come from these.
             self.searched = self.searched or await self._search()
-            if not self.entry_revision or self._is_entry_missing():
+            if not self.entry_position or self._is_entry_missing():
                 await self._register()
             if (
                 not announced
-                and self.entry_revision
+                and self.entry_position
                 and self.roster.listed
                 and self.roster.is_ready()
             ):
@@ -97,7 +99,10 @@
             removed = await self.feed.delete(
                 store_feed.ObjectKind.ENTRY_HOSTS,
                 host.name,
-                revision=stored.revision,
+                revision=position.combine(
+                    era=position.era_of(self.view.revision),
+                    revision=stored.revision,
+                ),
             )
             _LOGGER.info(
                 "removing the entry of a stopped host",
@@ -109,9 +114,16 @@
             )
 
     def _is_entry_missing(self) -> bool:
-        return (
-            self.view.revision > self.entry_revision
-            and self.roster.own.name not in self.view.objects
+        """Return whether the store no longer holds what this host wrote.
+
+        It may have come back from a copy that has no entry of the host, or
+        one of an earlier start.
+        """
+        own = self.roster.own
+        stored = self.view.objects.get(own.name)
+        return self.view.revision > self.entry_position and (
+            stored is None
+            or host_entries.incarnation(stored) != own.incarnation
         )
 
     async def _register(self) -> None:
@@ -125,7 +137,7 @@
             probably_exists=self.entry_exists,
         )
         if not isinstance(written, Failure):
-            self.entry_revision = written.unwrap()
+            self.entry_position = written.unwrap()
             self.entry_exists = True
 
     async def _search(self) -> bool:
--- a/src/samphirelug/components/fleet/evacuations.py
+++ b/src/samphirelug/components/fleet/evacuations.py
@@ -2,7 +2,7 @@
 
 A host that cannot reach the store would keep sending requests to a zone while
 it is evacuated, and its full load to the cold servers when they return. Hosts
-therefore tell each other what they have read, with the store's revision.
+therefore tell each other what they have read, with the store's position.
 """
 
 import logging
@@ -10,6 +10,7 @@
 from samphirelug.components.fleet import model
 from samphirelug.components.fleet import registry as fleet_registry
 from samphirelug.components.store import model as store_model
+from samphirelug.components.store import position
 from samphirelug.components.store import view as store_view
 
 _LOGGER = logging.getLogger(__name__)
@@ -32,7 +33,7 @@
         if not self.view.revision:
             return None
         return model.Evacuations(
-            self.view.revision, self.registry.evacuated_zones
+            self.view.revision, frozenset(self.view.objects)
         )
 
     def receive(self, evacuations: model.Evacuations, *, host: str) -> None:
@@ -44,7 +45,10 @@
             return
         _LOGGER.info(
             "evacuated zones adopted",
-            extra={"host": host, "revision": evacuations.revision},
+            extra={
+                "host": host,
+                **position.log_fields(evacuations.revision),
+            },
         )
         # A watch continues from this revision, so that it does not return
         # changes that this state includes.
@@ -52,7 +56,9 @@
             store_model.Listing(
                 evacuations.revision,
                 tuple(
-                    store_model.StoredObject(zone, evacuations.revision, {})
+                    store_model.StoredObject(
+                        zone, position.revision_of(evacuations.revision), {}
+                    )
                     for zone in sorted(evacuations.zones)
                 ),
             ),
--- a/src/samphirelug/components/fleet/host_entries.py
+++ b/src/samphirelug/components/fleet/host_entries.py
@@ -27,6 +27,16 @@
     ) -> None:
         self.roster = roster
         self.timer = timer
+        # Names in the entries of the store.
+        self.listed: set[str] = set()
+        self.held_until_s = float("-inf")
+
+    def begin_era(self) -> None:
+        """Keep hosts that the next list lacks until they register again."""
+        self.held_until_s = self.timer.monotonic() + store_view.ERA_HOLD_S
+        self.timer.call_at(
+            when_s=self.held_until_s, callback=self._remove_unlisted
+        )
 
     def replace_all(
         self,
@@ -38,21 +48,29 @@
         del grace_s
         now = self.timer.monotonic()
         hosts = decode_all(objects)
+        self.listed = {host.name for host in hosts}
         self.roster.update_from_list(hosts, now=now)
-        for name in self.roster.records.keys() - {host.name for host in hosts}:
-            self.roster.remove_listed(name, now=now)
+        self._remove_unlisted()
 
     def upsert(self, stored: store_model.StoredObject) -> None:
         """Add or update a host; ignore a malformed entry."""
-        self.roster.update_from_list(
-            decode_all((stored,)), now=self.timer.monotonic()
-        )
+        hosts = decode_all((stored,))
+        self.listed.update(host.name for host in hosts)
+        self.roster.update_from_list(hosts, now=self.timer.monotonic())
 
     def remove(self, name: str, *, grace_s: float) -> None:
         """Record that a host has removed its entry."""
         del grace_s
+        self.listed.discard(name)
         self.roster.remove_listed(name, now=self.timer.monotonic())
 
+    def _remove_unlisted(self) -> None:
+        now = self.timer.monotonic()
+        if now < self.held_until_s:
+            return
+        for name in self.roster.records.keys() - self.listed:
+            self.roster.remove_listed(name, now=now)
+
 
 def encode(host: model.HostInstance) -> dict[str, object]:
     """Return the value of a host's entry."""
--- a/src/samphirelug/components/fleet/model.py
+++ b/src/samphirelug/components/fleet/model.py
@@ -41,8 +41,9 @@
 
 
 class Evacuations(NamedTuple):
-    """Hold the evacuated zones as of a revision of the store."""
+    """Hold the evacuated zones as of a state of the store."""
 
+    # A position, see store/position.py.
     revision: int
     zones: frozenset[str]
 
--- a/src/samphirelug/components/fleet/registry.py
+++ b/src/samphirelug/components/fleet/registry.py
@@ -3,12 +3,13 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import logging
+from typing import Any
 
 from samphirelug.components.fleet import model
 
 _LOGGER = logging.getLogger(__name__)
-# Number of incarnations that are remembered as leaving. A fleet restarts a few
-# hundred servers a day, so that this lasts for weeks.
+# Number of incarnations that are remembered as leaving or removed. A fleet
+# restarts a few hundred servers a day, so that this lasts for weeks.
 MAX_LEAVING = 10_000
 
 
@@ -37,6 +38,8 @@
         # its entry went, oldest first. The store may carry out an earlier
         # report after that.
         self.last_reports: dict[model.Incarnation, int] = {}
+        # Incarnations whose entries were removed, oldest first.
+        self.removed: dict[model.Incarnation, None] = {}
         # Incremented whenever the usable servers may have changed.
         self.generation = 0
         self.usable_by_service: dict[str, list[model.ServerInstance]] = {}
@@ -61,6 +64,13 @@
             and self._is_usable(known)
         )
 
+    def has_removed(self, server: model.ServerInstance) -> bool:
+        """Return whether this start had an entry that was removed."""
+        return (
+            server.instance_id not in self.servers
+            and server.incarnation in self.removed
+        )
+
     def mark_leaving(
         self, incarnation: model.Incarnation, *, source: str
     ) -> None:
@@ -68,8 +78,7 @@
         if incarnation in self.leaving:
             return
         self.leaving[incarnation] = None
-        while len(self.leaving) > MAX_LEAVING:
-            del self.leaving[next(iter(self.leaving))]
+        _limit(self.leaving)
         self._rebuild_usable()
         server = self.servers.get(incarnation.instance_id)
         _LOGGER.info(
@@ -245,10 +254,12 @@
 
     def _forget(self, server: model.ServerInstance) -> None:
         """Keep no more of a removed incarnation than its last report."""
+        if server.started_unix_ms:
+            self.removed[server.incarnation] = None
+            _limit(self.removed)
         if server.draining and server.started_unix_ms:
             self.last_reports[server.incarnation] = server.report_number
-            while len(self.last_reports) > MAX_LEAVING:
-                del self.last_reports[next(iter(self.last_reports))]
+            _limit(self.last_reports)
         for listener in self.on_removed:
             listener(server)
 
@@ -268,3 +279,9 @@
             if self._is_usable(server):
                 usable.setdefault(server.service, []).append(server)
         self.usable_by_service = usable
+
+
+def _limit(remembered: dict[model.Incarnation, Any]) -> None:
+    """Forget the oldest incarnations beyond the maximum."""
+    while len(remembered) > MAX_LEAVING:
+        del remembered[next(iter(remembered))]
--- a/src/samphirelug/components/store/feed.py
+++ b/src/samphirelug/components/store/feed.py
@@ -29,8 +29,9 @@
 
 
 class Changes(NamedTuple):
-    """Hold the ordered changes up to a revision of the whole store."""
+    """Hold the ordered changes up to a state of the whole store."""
 
+    # A position, as in lists.
     revision: int
     events: tuple[model.StoredObject | Removal, ...]
 
@@ -54,10 +55,11 @@
     async def watch(
         self, kind: ObjectKind, *, after: int, timeout_s: float
     ) -> Result[Changes | None, result_codes.Refusal]:
-        """Wait for changes after a revision.
+        """Wait for changes after a position.
 
         Returns no events when timeout_s has passed without a change, and None
-        when the store no longer has the changes since that revision.
+        when the store no longer has the changes since then. Changes up to a
+        position of another era do not continue from there.
         """
 
     @abc.abstractmethod
@@ -69,7 +71,7 @@
         *,
         probably_exists: bool = False,
     ) -> Result[int, result_codes.Refusal]:
-        """Create or replace an object; return its revision.
+        """Create or replace an object; return the position of the write.
 
         It takes one call if the object exists as assumed, else two.
         """
@@ -80,5 +82,6 @@
     ) -> Result[None, result_codes.Refusal]:
         """Remove an object; succeeds if there is none.
 
-        With a revision, an object that has changed since then stays.
+        With the revision of the object, as a position, one that has changed
+        since then stays. Fails if that is known to be of an earlier era.
         """
--- a/src/samphirelug/components/store/follower.py
+++ b/src/samphirelug/components/store/follower.py
@@ -10,6 +10,7 @@
 
 from samphirelug.components.store import availability as store_availability
 from samphirelug.components.store import feed as store_feed
+from samphirelug.components.store import position
 from samphirelug.components.store import view as store_view
 from samphirelug.helpers import timer as timer_helper
 from samphirelug import result_codes
@@ -103,8 +104,9 @@
                 "ignoring a list older than the known revision",
                 extra={
                     "kind": self.kind,
-                    "revision": listing.revision,
-                    "known_revision": known_revision,
+                    **position.log_fields(listing.revision),
+                    "known_era": position.era_of(known_revision),
+                    "known_revision": position.revision_of(known_revision),
                 },
             )
             await self._back_off()
@@ -125,10 +127,23 @@
             return True
         self._handle_success()
         changes = answer.unwrap()
-        if changes is None or changes.revision < after:
+        if changes is not None and (
+            position.era_of(changes.revision) < position.era_of(after)
+        ):
+            # It comes from before the store was replaced by an older copy.
+            await self.timer.sleep(self.max_backoff_s())
+            return True
+        if (
+            changes is None
+            or changes.revision < after
+            or not position.in_same_era(changes.revision, after)
+        ):
             _LOGGER.info(
                 "store cannot continue from the known revision, listing again",
-                extra={"kind": self.kind, "revision": self.revision},
+                extra={
+                    "kind": self.kind,
+                    **position.log_fields(self.revision),
+                },
             )
             return False
         self.view.apply(
--- a/src/samphirelug/components/store/io_transport.py
+++ b/src/samphirelug/components/store/io_transport.py
@@ -4,7 +4,9 @@
 the call, since a write may then have taken effect.
 """
 
+from collections.abc import Mapping
 import socket
+from types import MappingProxyType
 from typing import Any
 from typing import NamedTuple
 
@@ -42,10 +44,11 @@
 
 
 class Reply(NamedTuple):
-    """Hold the status and body of an HTTP answer."""
+    """Hold the status, body and header fields of an HTTP answer."""
 
     status: int
     body: bytes
+    headers: Mapping[str, str] = MappingProxyType({})
 
 
 class NoReply(NamedTuple):
@@ -114,7 +117,7 @@
             return NoReply(
                 str(error) or type(error).__name__, _maybe_sent(error)
             )
-        return Reply(response.code, response.body)
+        return Reply(response.code, response.body, response.headers)
 
 
 def _maybe_sent(error: Exception) -> bool:
--- a/src/samphirelug/components/store/model.py
+++ b/src/samphirelug/components/store/model.py
@@ -6,7 +6,10 @@
 
 
 class StoredObject(NamedTuple):
-    """Hold an object with the revision of its last write."""
+    """Hold an object with the revision of its last write.
+
+    Revisions of two eras of the store must not be compared.
+    """
 
     key: str
     revision: int
@@ -15,7 +18,8 @@
 
 
 class Listing(NamedTuple):
-    """Hold a set of objects as of a revision of the whole store."""
+    """Hold a set of objects as of a state of the whole store."""
 
+    # A position, see store/position.py.
     revision: int
     objects: tuple[StoredObject, ...]
--- a/src/samphirelug/components/store/view.py
+++ b/src/samphirelug/components/store/view.py
@@ -2,7 +2,8 @@
 
 The objects come from the store or from another entry host. Either may be
 behind the other, so that a view accepts only what is newer, and tells others
-the changes since any revision that it still knows.
+the changes since any revision that it still knows. Revisions of a view are
+positions: those of a later era of the store are higher.
 """
 
 import abc
@@ -10,11 +11,21 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
+import logging
 from typing import NamedTuple
 
 from samphirelug.components.store import feed
 from samphirelug.components.store import model
-
+from samphirelug.components.store import position
+
+_LOGGER = logging.getLogger(__name__)
+# Time within which owners write entries again that an older copy of the store
+# lacks. Servers whose entries have expired do so within two seconds.
+ERA_GRACE_S = 2.3
+# Time for which entries that an older copy of the store shows again may belong
+# to servers or hosts that have ended. They expire after three reports of 1.5 s
+# have failed to come.
+ERA_HOLD_S = 6.0
 # Sets of changes that a view keeps for hosts that follow it. A host that is
 # further behind gets all objects.
 MAX_DELTAS = 256
@@ -29,6 +40,14 @@
     expired because of an outage of the store, and may be written again.
     """
 
+    @abc.abstractmethod
+    def begin_era(self) -> None:
+        """Expect a list that shows an older state than was known.
+
+        Called before the list. What it lacks may be written again, and what
+        it shows again may have ended.
+        """
+
     @abc.abstractmethod
     def replace_all(
         self, objects: Sequence[model.StoredObject], *, grace_s: float
@@ -59,14 +78,14 @@
 
 
 class ObjectView:
-    """Keep the objects of a kind, whose revision never decreases."""
+    """Keep the objects of a kind, whose position never decreases."""
 
     def __init__(
         self, *, kind: feed.ObjectKind, consumer: ObjectConsumer
     ) -> None:
         self.kind = kind
         self.consumer = consumer
-        # Revision of the store that the view shows; 0 if it shows nothing.
+        # Position of the store that the view shows; 0 if it shows nothing.
         self.revision = 0
         self.objects: dict[str, model.StoredObject] = {}
         # The changes after known_since, oldest first.
@@ -80,7 +99,12 @@
         if listing.revision < self.revision:
             return False
         objects = {stored.key: stored for stored in listing.objects}
-        if self.revision:
+        if self.revision and not position.in_same_era(
+            self.revision, listing.revision
+        ):
+            self._begin_era(listing)
+            grace_s = max(grace_s, ERA_GRACE_S)
+        elif self.revision:
             # Followers get the difference: all objects would take most of
             # the bytes between hosts.
             changed: list[Event] = [
@@ -119,6 +143,8 @@
             return False
         if revision <= self.revision:
             return True
+        if not position.in_same_era(self.revision, revision):
+            return False
         events = tuple(events)
         delta = Delta(self.revision, revision, last_events(events))
         self.revision = revision
@@ -159,6 +185,31 @@
             ),
         )
 
+    def _begin_era(self, listing: model.Listing) -> None:
+        """Prepare for the first list of a later era.
+
+        Followers get all objects: one that was ahead of this view in the
+        former era would keep changes that the store has lost.
+        """
+        _LOGGER.warning(
+            "view begins a new era of the store",
+            extra={
+                "kind": self.kind,
+                **position.log_fields(listing.revision),
+                "previous_era": position.era_of(self.revision),
+                "previous_revision": position.revision_of(self.revision),
+                "missing": len(
+                    self.objects.keys()
+                    - {stored.key for stored in listing.objects}
+                ),
+                "grace_s": ERA_GRACE_S,
+                "hold_s": ERA_HOLD_S,
+            },
+        )
+        self.deltas.clear()
+        self.known_since = listing.revision
+        self.consumer.begin_era()
+
     def _record(self, delta: Delta) -> None:
         if not delta.events:
             return
--- a/src/samphirelug/forwarding_host.py
+++ b/src/samphirelug/forwarding_host.py
@@ -47,6 +47,7 @@
 from samphirelug.components.store import availability as store_availability
 from samphirelug.components.store import feed as store_feed
 from samphirelug.components.store import follower
+from samphirelug.components.store import position
 from samphirelug.components.store import view as store_view
 from samphirelug import forwarding_settings
 from samphirelug.helpers import timer as timer_helper
@@ -592,6 +593,8 @@
         self.metrics.set_belief("entry_hosts", self.roster.count or 0)
         age_s = self.coordinator.age_s(self.timer.monotonic())
         self.metrics.set_belief("view_age_s", age_s)
+        shown = self.views[store_feed.ObjectKind.CONFIGURATION].revision
+        self.metrics.set_belief("store_era", position.era_of(shown))
         self.metrics.set_belief("reads_store", self.coordinator.direct)
         self.metrics.set_belief("sources", len(self.coordinator.sources))
         self.metrics.set_belief("followers", len(self.coordinator.followers))
--- a/standins/soak/store.py
+++ b/standins/soak/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from typing import Any
+from typing import NamedTuple
 
 import orjson
 from tornado import httpserver
@@ -11,6 +12,13 @@
 ROUTE = r"/-/objects/([^/]+)(?:/([^/]+))?"
 
 
+class StoreCopy(NamedTuple):
+    """Hold what the store may come back from."""
+
+    revision: int
+    objects: dict[tuple[str, str], dict[str, Any]]
+
+
 class StoreState:
     """Hold the objects, their change history and the active fault."""
 
@@ -26,6 +34,19 @@
         # "down": 503 for each call; "slow": 0.3 s before each answer; "lost":
         # half of the writes take effect without an answer; empty for none.
         self.fault = ""
+        # Named in each answer; 0 for none.
+        self.era = 0
+
+    def copy(self) -> StoreCopy:
+        """Return a copy of the present state."""
+        return StoreCopy(self.revision, dict(self.objects))
+
+    def come_back_from(self, copy: StoreCopy) -> None:
+        """Begin a new era with the state of a copy, without history."""
+        self.era += 1
+        self.revision = copy.revision
+        self.objects = dict(copy.objects)
+        self.compact_history()
 
     def put(self, kind: str, name: str, spec: object) -> dict[str, Any]:
         """Create or replace an object."""
@@ -90,6 +111,8 @@
 
     async def prepare(self) -> None:
         """Apply the active fault."""
+        if self.state.era:
+            self.set_header("Store-Era", str(self.state.era))
         if self.state.fault == "down":
             self.set_status(503)
             self.finish()
@@ -106,8 +129,17 @@
         deadline_s = asyncio.get_running_loop().time() + (
             int(self.get_query_argument("WaitMs", "0")) / 1000
         )
+        era = self.state.era
         while True:
-            if int(after) < self.state.oldest_watchable:
+            if self.state.era != era:
+                # What waited when the store went away gets no answer.
+                self.request.connection.stream.close()  # type: ignore[union-attr]
+                return
+            if not (
+                self.state.oldest_watchable
+                <= int(after)
+                <= self.state.revision
+            ):
                 self.set_status(410)
                 return
             events = self.state.events_after(kind, int(after))
--- a/tests/components/following/test_frames.py
+++ b/tests/components/following/test_frames.py
@@ -15,6 +15,9 @@
 class IgnoringConsumer(store_view.ObjectConsumer):
     """Ignore all objects."""
 
+    def begin_era(self) -> None:
+        """Record nothing."""
+
     def replace_all(
         self, objects: Sequence[model.StoredObject], *, grace_s: float
     ) -> None:
--- a/tests/components/store/test_follower.py
+++ b/tests/components/store/test_follower.py
@@ -89,6 +89,9 @@
     def __init__(self) -> None:
         self.received: list[object] = []
 
+    def begin_era(self) -> None:
+        """Record nothing."""
+
     def replace_all(
         self, objects: Sequence[model.StoredObject], *, grace_s: float
     ) -> None:
--- a/tests/components/store/test_view.py
+++ b/tests/components/store/test_view.py
@@ -25,6 +25,9 @@
         self.objects: dict[str, int] = {}
         self.calls: list[str] = []
 
+    def begin_era(self) -> None:
+        """Record nothing."""
+
     def replace_all(
         self, objects: Sequence[model.StoredObject], *, grace_s: float
     ) -> None:
--- a/tests/platform_adapter/test_store.py
+++ b/tests/platform_adapter/test_store.py
@@ -50,6 +50,7 @@
     return store.PlatformStore(
         transport=ScriptedTransport(*bodies),
         metrics=forwarding_metrics.ForwardingMetrics(),
+        timer=timer_helper.ManualTimerService(),
     )
 
 
