End the reading of a connection whose response cannot be written

A caller that had sent 16 or more requests ahead and left while a response was being written stayed counted with its address until the host ended. Enough of them shut an address out for good.

Cause: the writer of the connection ended without closing it, and the reader waited for room among the pending requests, which nobody made any more.

Change: a writer that finds the caller gone closes the connection, and closing wakes the reader.

Result: nine of the 36 cases of test_ended_connections.py failed before the change and none after it; they check the account of connections and the memory of requests and answers. The tests of components/http pass.

--- a/src/samphirelug/components/http/io_pipeline.py
+++ b/src/samphirelug/components/http/io_pipeline.py
@@ -179,6 +179,8 @@
         """Close at once; requests that have not started are dropped."""
         self.closing = True
         self.stream.close()
+        # Reading ends too if it waits until responses have been written.
+        self.can_read.set()
 
     async def _read_requests(self) -> None:
         while True:
@@ -330,6 +332,7 @@
             _LOGGER.debug(
                 "caller disconnected before its response was written"
             )
+            self.close()
         except Exception:
             _LOGGER.exception("unexpected error while writing responses")
             self.close()
