Send "100 Continue" only between responses

Cause: the interim response was held back only while requests were pending. A request no longer counts as pending while its response is written, which takes several steps for a long one.

Change: it waits until the response has been written.

--- a/src/samphirelug/components/http/io_pipeline.py
+++ b/src/samphirelug/components/http/io_pipeline.py
@@ -251,7 +251,12 @@
 
     def _send_continue(self) -> None:
         """Let the caller send a body, once earlier responses are written."""
-        if self.parser.expects_continue and not self.pending:
+        is_writing = self.read_at_s is not None
+        if (
+            self.parser.expects_continue
+            and not self.pending
+            and not is_writing
+        ):
             self.parser.expects_continue = False
             self.stream.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
--- a/tests/components/http/test_io_pipeline.py
+++ b/tests/components/http/test_io_pipeline.py
@@ -445,6 +445,49 @@
     run(script)
 
 
+class LongHandler(DelayHandler):
+    """Answer with a body of several steps."""
+
+    async def handle(
+        self, message: request_parser.CallerMessage
+    ) -> model.Response:
+        """Answer at once."""
+        await super().handle(message)
+        return model.Response(200, "OK", (), bytes(LONG_BODY_BYTES))
+
+
+# Above what the kernel takes from a writer whose peer reads slowly.
+LONG_BODY_BYTES = 12_000_000
+
+
+def test_continue_is_not_sent_within_a_response() -> None:
+    """Guard against a body with foreign bytes that looks complete."""
+
+    async def script(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        listener: io_pipeline.CallerListener,
+        handler: DelayHandler,
+    ) -> None:
+        del listener, handler
+        writer.write(b"GET /0 HTTP/1.1\r\nHost: x\r\n\r\n")
+        await reader.readuntil(b"\r\n\r\n")
+        # The response is being written while the next request arrives.
+        writer.write(
+            b"GET /0 HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n"
+            b"Expect: 100-continue\r\n\r\n"
+        )
+        await asyncio.sleep(0.2)
+        body = await reader.readexactly(LONG_BODY_BYTES)
+        assert body == bytes(LONG_BODY_BYTES)
+        interim = await reader.readuntil(b"\r\n\r\n")
+        assert interim == b"HTTP/1.1 100 Continue\r\n\r\n"
+        writer.write(b"ok")
+        assert await read_body(reader) == bytes(LONG_BODY_BYTES)
+
+    run(script, LongHandler())
+
+
 class EmptyHandler(DelayHandler):
     """Answer with the status in the last segment and no body."""
 
