Let go of a request's body when its answer has come

Cause: with the answer, the request was no longer counted, but it was held with its body until the whole answer had been written.

Change: the body is let go at the moment in which it is no longer counted.

--- a/src/samphirelug/components/http/io_pipeline.py
+++ b/src/samphirelug/components/http/io_pipeline.py
@@ -302,8 +302,9 @@
     def _handle_ended(
         self, task: "asyncio.Task[model.Response]", *, pending: PendingRequest
     ) -> None:
-        """Count the response in place of its request."""
+        """Hold and count the response in place of its request."""
         self.listener.memory.drop(pending.size)
+        pending.message = pending.message._replace(body=b"")
         if pending.discarded or task.cancelled() or task.exception():
             return
         response = task.result()
--- a/tests/components/http/test_unread_answers.py
+++ b/tests/components/http/test_unread_answers.py
@@ -1,7 +1,9 @@
 """Test callers that do not read their answers."""
 
 import asyncio
+import gc
 import socket
+import tracemalloc
 
 from samphirelug.components.http import const
 from samphirelug.components.http import held_memory
@@ -19,6 +21,7 @@
 ANSWER_BYTES = 12_000_000
 LIMIT_BYTES = 40_000_000
 RECEIVE_BUFFER_BYTES = 16_384
+UPLOAD_BYTES = 8_000_000
 IDLE_TIMEOUT_S = 6.0
 MARGIN_S = 0.5
 
@@ -85,6 +88,63 @@
     return count
 
 
+class FixedHandler(handlers.SequentialHandler):
+    """Return the same long answer to each request."""
+
+    def __init__(self) -> None:
+        self.body = bytes(ANSWER_BYTES)
+
+    async def handle(
+        self, message: request_parser.CallerMessage
+    ) -> model.Response:
+        """Return the body."""
+        del message
+        return model.Response(200, "OK", (), self.body)
+
+
+def test_uploads_are_not_held_until_their_answers_are_read() -> None:
+    """Guard against a host that dies of bodies that it does not count."""
+    uploads = 4
+
+    async def main() -> int:
+        listener = io_pipeline.CallerListener(
+            handler=FixedHandler(),
+            limits=lambda: build.LIMITS._replace(max_body_bytes=UPLOAD_BYTES),
+            timer=timer_helper.LoopTimerService(),
+            memory=build.memory(),
+            answer_memory=build.memory(),
+            max_connections=build.MAX_CONNECTIONS,
+        )
+        listener.start_listening(host="127.0.0.1", port=0)
+        body = bytes(UPLOAD_BYTES)
+        before, _ = tracemalloc.get_traced_memory()
+        writers = []
+        for _ in range(uploads):
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", listener.port, limit=RECEIVE_BUFFER_BYTES
+            )
+            writer.write(b"POST / HTTP/1.1\r\nHost: x\r\n")
+            writer.write(b"Content-Length: %d\r\n\r\n" % UPLOAD_BYTES)
+            writer.write(body)
+            await writer.drain()
+            # The rest of the answer stays unread.
+            await reader.readuntil(b"\r\n\r\n")
+            writers.append(writer)
+        gc.collect()
+        after, _ = tracemalloc.get_traced_memory()
+        for writer in writers:
+            writer.transport.abort()
+        listener.stop()
+        return after - before
+
+    tracemalloc.start()
+    try:
+        held_bytes = asyncio.run(asyncio.wait_for(main(), 30))
+    finally:
+        tracemalloc.stop()
+    assert held_bytes < UPLOAD_BYTES
+
+
 def test_unread_answers_leave_memory_to_the_others() -> None:
     """Guard against a host that dies of answers that callers do not read."""
 
