Keep the names of changed objects in place of their values

Cause: a view keeps its last 256 sets of changes for its followers, each with the changed objects themselves.

Change: a set of changes holds the names of the objects. A follower is told their present state, to which their last changes led.

--- a/src/samphirelug/components/store/view.py
+++ b/src/samphirelug/components/store/view.py
@@ -77,6 +77,13 @@
     is_complete: bool = False
 
 
+class ChangedNames(NamedTuple):
+    """Hold the names of the objects that changed up to a revision."""
+
+    revision: int
+    names: tuple[str, ...]
+
+
 class ObjectView:
     """Keep the objects of a kind, whose position never decreases."""
 
@@ -88,8 +95,9 @@
         # Position of the store that the view shows; 0 if it shows nothing.
         self.revision = 0
         self.objects: dict[str, model.StoredObject] = {}
-        # The changes after known_since, oldest first.
-        self.deltas: collections.deque[Delta] = collections.deque()
+        # The changes after known_since, oldest first. Values of objects would
+        # add up: a configuration may have a megabyte.
+        self.deltas: collections.deque[ChangedNames] = collections.deque()
         self.known_since = 0
         # Called after each new revision.
         self.on_changed: list[Callable[[], None]] = []
@@ -107,17 +115,13 @@
         elif self.revision:
             # Followers get the difference: all objects would take most of
             # the bytes between hosts.
-            changed: list[Event] = [
-                stored
+            changed = [
+                stored.key
                 for stored in listing.objects
                 if self.objects.get(stored.key) != stored
             ]
-            changed += [
-                feed.Removal(name) for name in self.objects.keys() - objects
-            ]
-            self._record(
-                Delta(self.revision, listing.revision, tuple(changed))
-            )
+            changed += self.objects.keys() - objects
+            self._record(listing.revision, changed)
         else:
             self.known_since = listing.revision
         self.revision = listing.revision
@@ -146,14 +150,15 @@
         if not position.in_same_era(self.revision, revision):
             return False
         events = tuple(events)
-        delta = Delta(self.revision, revision, last_events(events))
         self.revision = revision
         last_puts = {
             event.key: event
             for event in events
             if isinstance(event, model.StoredObject)
         }
-        for event in delta.events:
+        changed = []
+        for event in last_events(events):
+            changed.append(_name_of(event))
             if isinstance(event, feed.Removal):
                 if event.name in last_puts:
                     # It may say that the removal is planned, and not that of
@@ -164,7 +169,7 @@
             else:
                 self.objects[event.key] = event
                 self.consumer.upsert(event)
-        self._record(delta)
+        self._record(revision, changed)
         self._notify()
         return True
 
@@ -174,14 +179,18 @@
             return Delta(self.revision, self.revision, ())
         if revision < self.known_since:
             return Delta(0, self.revision, tuple(self.objects.values()), True)
+        # The last change of an object led to its present state.
+        changed = dict.fromkeys(
+            name
+            for delta in self.deltas
+            if delta.revision > revision
+            for name in delta.names
+        )
         return Delta(
             revision,
             self.revision,
-            last_events(
-                event
-                for delta in self.deltas
-                if delta.revision > revision
-                for event in delta.events
+            tuple(
+                self.objects.get(name, feed.Removal(name)) for name in changed
             ),
         )
 
@@ -210,10 +219,11 @@
         self.known_since = listing.revision
         self.consumer.begin_era()
 
-    def _record(self, delta: Delta) -> None:
-        if not delta.events:
+    def _record(self, revision: int, names: Iterable[str]) -> None:
+        changed = ChangedNames(revision, tuple(names))
+        if not changed.names:
             return
-        self.deltas.append(delta)
+        self.deltas.append(changed)
         if len(self.deltas) > MAX_DELTAS:
             self.known_since = self.deltas.popleft().revision
 
@@ -226,7 +236,11 @@
     """Return the last event of each object, in the order of these."""
     by_name: dict[str, Event] = {}
     for event in events:
-        name = event.name if isinstance(event, feed.Removal) else event.key
+        name = _name_of(event)
         by_name.pop(name, None)
         by_name[name] = event
     return tuple(by_name.values())
+
+
+def _name_of(event: Event) -> str:
+    return event.name if isinstance(event, feed.Removal) else event.key
--- a/tests/components/store/test_view.py
+++ b/tests/components/store/test_view.py
@@ -1,7 +1,9 @@
 """Test views of objects that are fed by several sources."""
 
 from collections.abc import Sequence
+import tracemalloc
 
+import pytest
 from returns.result import Result
 from returns.result import Success
 
@@ -158,6 +160,31 @@
     assert view.since(5).is_complete
 
 
+@pytest.mark.parametrize("is_listed", [False, True])
+def test_known_changes_of_an_object_hold_its_value_once(
+    is_listed: bool,
+) -> None:
+    """Guard against a host that dies of changes of a large configuration."""
+    size, changes = 1_000_000, 20
+    view, _ = make_view(5)
+    tracemalloc.start()
+    try:
+        for revision in range(6, 6 + changes):
+            event = model.StoredObject("a", revision, {"a": bytes(size)})
+            if is_listed:
+                view.replace_all(
+                    model.Listing(revision, (event,)), grace_s=0.0
+                )
+            else:
+                apply(view, revision - 1, revision, event)
+        del event
+        held_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert held_bytes < 2 * size
+    assert view.since(6).events == (view.objects["a"],)
+
+
 def test_new_list_is_passed_on_as_its_difference() -> None:
     """Guard against all objects sent to all hosts after each list.
 
