Answer HEAD without a body, also with a refusal

A refusal of the host for a HEAD request carried its body. The caller takes these bytes for the beginning of the next response on the connection.

Cause: the listener wrote the body of each response, whatever the method of its request. Answers of servers to HEAD have none, refusals do.

Change: nothing is written behind the head of a response to HEAD.

Result: test_response_to_head_has_no_body failed before the change (the next response began with the body of the first) and passes now.

--- a/src/samphirelug/components/http/io_pipeline.py
+++ b/src/samphirelug/components/http/io_pipeline.py
@@ -407,7 +407,9 @@
         head = "\r\n".join(lines) + "\r\n\r\n"
         self.read_at_s = self.listener.timer.monotonic()
         try:
-            await self._write_in_steps(head.encode("latin-1"), response.body)
+            await self._write_in_steps(
+                head.encode("latin-1"), b"" if is_head else response.body
+            )
         finally:
             self.read_at_s = None
 
--- a/standins/soak/store.py
+++ b/standins/soak/store.py
@@ -133,7 +133,7 @@
         while True:
             if self.state.era != era:
                 # What waited when the store went away gets no answer.
-                self.request.connection.stream.close()  # type: ignore[union-attr]
+                self._drop_connection()
                 return
             if not (
                 self.state.oldest_watchable
@@ -175,10 +175,13 @@
 
     def _respond_to_write(self, document: dict[str, Any]) -> None:
         if self.state.fault == "lost" and self.state.rng.random() < 0.5:
-            self.request.connection.stream.close()  # type: ignore[union-attr]
+            self._drop_connection()
             return
         self._respond(document)
 
+    def _drop_connection(self) -> None:
+        self.request.connection.stream.close()  # type: ignore[union-attr]
+
     def _respond(self, document: dict[str, Any]) -> None:
         self.set_header("Content-Type", "application/json")
         self.finish(orjson.dumps(document))
--- a/tests/components/http/test_io_pipeline.py
+++ b/tests/components/http/test_io_pipeline.py
@@ -525,6 +525,32 @@
     run(script, EmptyHandler())
 
 
+def test_response_to_head_has_no_body() -> None:
+    """Guard against bytes that the caller takes for the next response.
+
+    Refusals have a body, whatever the method of the request.
+    """
+
+    async def script(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        listener: io_pipeline.CallerListener,
+        handler: DelayHandler,
+    ) -> None:
+        del listener, handler
+        writer.write(
+            b"HEAD /0 HTTP/1.1\r\nHost: x\r\n\r\n"
+            b"GET /0 HTTP/1.1\r\nHost: x\r\n\r\n"
+        )
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200 ")
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200 ")
+        assert await reader.readexactly(2) == b"/0"
+
+    run(script)
+
+
 def test_body_may_be_sent_after_an_earlier_response() -> None:
     """Guard against a caller that waits for ever for "100 Continue"."""
 
