Read field values without the white space behind them

A proper deadline with a blank behind it was answered 400, and a server that echoed a request's ID without the blank that the caller had sent was taken to answer another request.

Cause: the HTTP parser leaves out white space before a value but not behind it, and the value was used as it was.

Change: blanks and tabs behind a value are removed, in requests and answers (RFC 9110, section 5.5). Those within a value stay.

--- a/src/samphirelug/components/http/request_parser.py
+++ b/src/samphirelug/components/http/request_parser.py
@@ -12,6 +12,7 @@
 from samphirelug.components.http import const
 from samphirelug.components.http import held_memory
 from samphirelug.components.routing import model as routing_model
+from samphirelug.helpers import http_fields
 from samphirelug.helpers import timer as timer_helper
 
 
@@ -271,7 +272,8 @@
         for name_length, value_length in zip(lengths, lengths, strict=True):
             middle = start + name_length
             end = middle + value_length
-            field = (text[start:middle], text[middle:end])
+            value = text[middle:end].rstrip(http_fields.BLANKS)
+            field = (text[start:middle], value)
             self.headers.append(field)
             self.field_bytes += body_buffer.field_size(field)
             start = end
--- a/src/samphirelug/components/http/response_parser.py
+++ b/src/samphirelug/components/http/response_parser.py
@@ -148,7 +148,8 @@
         """Add a header field."""
         if self.current is None:
             return
-        field = (name.decode("latin-1"), value.decode("latin-1"))
+        text = value.decode("latin-1").rstrip(http_fields.BLANKS)
+        field = (name.decode("latin-1"), text)
         self.current.headers.append(field)
         self.current.field_bytes += body_buffer.field_size(field)
 
--- a/src/samphirelug/helpers/http_fields.py
+++ b/src/samphirelug/helpers/http_fields.py
@@ -16,6 +16,8 @@
         "upgrade",
     )
 )
+# Optional white space around a value, which the HTTP parser leaves behind it.
+BLANKS = " \t"
 # A client must not interpret others (RFC 9110, section 15).
 VALID_STATUSES = range(100, 600)
 
--- a/tests/components/http/test_byte_streams.py
+++ b/tests/components/http/test_byte_streams.py
@@ -79,6 +79,18 @@
             read = read[length:]
 
 
+def test_space_around_a_field_value_is_not_part_of_it() -> None:
+    """Guard against a proper deadline that is refused as malformed."""
+    parser = request_parser.RequestParser(
+        limits=lambda: LIMITS,
+        timer=timer_helper.ManualTimerService(),
+        on_rejected=lambda _: None,
+    )
+    parser.feed(b"GET / HTTP/1.1\r\nA: \t 30 00 \t \r\nB: \r\n\r\n")
+    ((message, _),) = parser.completed
+    assert message.headers == (("A", "30 00"), ("B", ""))
+
+
 async def exchange(port: int, stream: bytes, *, end: bool = True) -> bytes:
     """Send a stream, with its end or not; return what was received.
 
--- a/tests/components/http/test_response_parser.py
+++ b/tests/components/http/test_response_parser.py
@@ -35,6 +35,12 @@
     assert bodies(parse(*parts)) == [b"ok", b"abcde", b"ok"]
 
 
+def test_space_around_a_field_value_is_not_part_of_it() -> None:
+    """Guard against an ID that passes for that of another request."""
+    parser = parse(WITH_LENGTH.replace(b"X-Id: a", b"X-Id: \t a b \t "))
+    assert parser.completed[0].get("x-id") == "a b"
+
+
 def test_malformed_bytes_do_not_affect_completed_responses() -> None:
     """Guard against losing a response because of bytes that follow it."""
     parser = parse(WITH_LENGTH + b"garbage\r\n\r\n")
