Let the soak's store come back from older copies

The soak played outages of the store, but never one that loses what it has acknowledged.

Operators and servers write again what is missing; entries of servers that have ended expire.

--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -13,6 +13,7 @@
 
 from standins.soak import callers
 from standins.soak import checks
+from standins.soak import drills as drill_module
 from standins.soak import faults
 from standins.soak import keys
 from standins.soak import world as soak_world
@@ -38,8 +39,12 @@
     hosts: int,
     folder: pathlib.Path,
     planned_only: bool = False,
+    drills: bool = False,
 ) -> Report:
-    """Run one seed and return its report."""
+    """Run one seed and return its report.
+
+    With drills, the store also comes back from older copies.
+    """
     rng = random.Random(seed)
     loop = asyncio.get_running_loop()
     # The schedule of the faults stays that of the seed.
@@ -55,6 +60,7 @@
     )
     outcomes: list[callers.Outcome] = []
     try:
+        world.store.era = 1 if drills else 0
         await world.start()
         start_s = loop.time()
         lookup_addresses = [
@@ -75,10 +81,18 @@
         key_changes = asyncio.ensure_future(
             faults.change_keys(world, key_book, key_rng)
         )
+        # The schedule of the faults stays that of the seed.
+        drill_rng = random.Random(f"drills-{seed}")
+        background = [key_changes]
+        if drills:
+            background.append(
+                asyncio.ensure_future(drill_module.run(world, drill_rng))
+            )
         kinds = faults.PLANNED if planned_only else faults.FAULTS
         applied = await faults.run(world, seconds=seconds, kinds=kinds)
         await asyncio.gather(*caller_tasks)
-        key_changes.cancel()
+        for task in background:
+            task.cancel()
     finally:
         exit_codes = await world.stop()
     planned_periods = (
@@ -107,6 +121,7 @@
     seconds: float = 20.0,
     hosts: int = 4,
     planned_only: bool = False,
+    drills: bool = False,
 ) -> None:
     """Run seeds one after the other; exit with 1 if any of them fails."""
     # Watches that are open when a run ends are cut off, which tornado
@@ -122,6 +137,7 @@
                 hosts=hosts,
                 folder=folder,
                 planned_only=planned_only,
+                drills=drills,
             )
         )
         typer.echo(
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -24,6 +24,8 @@
 LATE_REPORT_S = 4.0
 # Time between two reports of a server.
 REPORT_INTERVAL_S = 1.5
+# Time after which the entry of a server expires that no longer reports.
+ENTRY_EXPIRY_S = 3 * REPORT_INTERVAL_S
 # Region by availability zone.
 ZONES = {"a1": "a", "a2": "a"}
 
@@ -151,6 +153,8 @@
         self.store = store.StoreState(rng=rng)
         self.run_log = servers.RunLog()
         self.servers: dict[str, servers.FakeServer] = {}
+        # IDs of the servers that leave.
+        self.draining: set[str] = set()
         self.proxies: dict[str, proxy.FaultyProxy] = {}
         self.store_proxies: list[proxy.FaultyProxy] = []
         self.hosts: list[HostProcess] = []
@@ -234,7 +238,9 @@
     def report_status(
         self, instance_id: str, state: str, sequence: int
     ) -> None:
-        """Write the status in a server's entry."""
+        """Write the status in a server's entry, if it has one."""
+        if ("servers", instance_id) not in self.store.objects:
+            return
         spec = self.store.objects["servers", instance_id]["Spec"]
         status = server_status(state, sequence=sequence)
         self.store.put("servers", instance_id, {**spec, "Status": status})
@@ -246,6 +252,7 @@
         """
         instance_id = next(iter(self.servers))
         server = self.servers.pop(instance_id)
+        self.draining.add(instance_id)
         self.write_server_entry(instance_id, "draining", sequence=3)
         server.handler.drain_started_s = time.monotonic()
         call_later = asyncio.get_running_loop().call_later
@@ -258,6 +265,25 @@
             4,
         )
 
+    def write_again(self) -> None:
+        """Write what operators and servers know to be missing in the store.
+
+        Entries of servers that have ended expire.
+        """
+        self.change_configuration()
+        for instance_id in self.servers:
+            if ("servers", instance_id) not in self.store.objects:
+                self.write_server_entry(instance_id, "ready")
+        for instance_id in self.draining:
+            self.report_status(instance_id, "draining", 5)
+        for kind, name in list(self.store.objects):
+            if kind == "servers" and name not in self.draining.union(
+                self.servers
+            ):
+                asyncio.get_running_loop().call_later(
+                    ENTRY_EXPIRY_S, self.store.delete, kind, name
+                )
+
     def change_configuration(self) -> None:
         """Write the next version of the configuration."""
         self.version += 3
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -12,7 +12,13 @@
 HOST_COUNT = 3
 
 
-def run(seed: int, folder: pathlib.Path, *, planned_only: bool) -> list[str]:
+def run(
+    seed: int,
+    folder: pathlib.Path,
+    *,
+    planned_only: bool,
+    drills: bool = False,
+) -> list[str]:
     """Return the violations of guarantees in a seed."""
     report = asyncio.run(
         soak_main.soak(
@@ -21,6 +27,7 @@
             hosts=HOST_COUNT,
             folder=folder,
             planned_only=planned_only,
+            drills=drills,
         )
     )
     assert report.statuses.get("200", 0) > 100
@@ -37,6 +44,13 @@
     assert not run(seed, tmp_path, planned_only=False)
 
 
+def test_guarantees_hold_when_the_store_comes_back_from_copies(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guard against hosts that forget what they have promised."""
+    assert not run(4, tmp_path, planned_only=False, drills=True)
+
+
 def test_planned_stops_interrupt_nothing(tmp_path: pathlib.Path) -> None:
     """Guard against requests lost in restarts, reloads and drains."""
     assert not run(3, tmp_path, planned_only=True)
