--- a/src/samphirelug/components/fleet/registry.py
+++ b/src/samphirelug/components/fleet/registry.py
@@ -244,7 +244,8 @@
     ) -> int:
         """Return the number of the server's last known report, else 0."""
         if not (server.started_unix_ms and server.report_number):
-            # After a restart, the numbers start anew.
+            # The numbers start anew with each start, so that without its time
+            # they say nothing about the order.
             return 0
         if previous is not None and (
             previous.incarnation == server.incarnation
