Play a drill whose watches stay silent and whose revisions pass the old ones

Both hosts and the test of the drill were shown only a store that cuts off the watches and whose revisions stay lower for a while.

Change: the stand-in can leave waiting watches without an answer, and the test plays a second drill: back at once, 40 more changes that take the revisions past those that hosts have seen, all watches silent.

--- a/standins/soak/store.py
+++ b/standins/soak/store.py
@@ -36,14 +36,22 @@
         self.fault = ""
         # Named in each answer; 0 for none.
         self.era = 0
+        # Whether watches from before the present era get no answer.
+        self.is_silent = False
 
     def copy(self) -> StoreCopy:
         """Return a copy of the present state."""
         return StoreCopy(self.revision, dict(self.objects))
 
-    def come_back_from(self, copy: StoreCopy) -> None:
-        """Begin a new era with the state of a copy, without history."""
+    def come_back_from(
+        self, copy: StoreCopy, *, is_silent: bool = False
+    ) -> None:
+        """Begin a new era with the state of a copy, without history.
+
+        Watches that wait are cut off, or get no answer for good.
+        """
         self.era += 1
+        self.is_silent = is_silent
         self.revision = copy.revision
         self.objects = dict(copy.objects)
         self.compact_history()
@@ -132,7 +140,8 @@
         era = self.state.era
         while True:
             if self.state.era != era:
-                # What waited when the store went away gets no answer.
+                if self.state.is_silent:
+                    await asyncio.Event().wait()
                 self._drop_connection()
                 return
             if not (
--- a/tests/system/test_store_eras.py
+++ b/tests/system/test_store_eras.py
@@ -6,6 +6,7 @@
 import random
 
 import orjson
+import pytest
 
 from standins.soak import callers
 from standins.soak import checks
@@ -18,6 +19,8 @@
 LOST_CHANGES = 12
 # Time for which the store is away.
 AWAY_S = 1.0
+# Changes that take the revisions past those seen before.
+MORE_CHANGES = 40
 # A server that was added gets requests within this time.
 ADDED_WITHIN_S = 2.0
 POLL_S = 0.05
@@ -67,7 +70,10 @@
 class Drill:
     """Let the store come back from a copy while callers send requests."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(self, folder: pathlib.Path, *, is_silent: bool) -> None:
+        # Whether the store is back at once, leaves watches without an answer
+        # and passes the revisions that hosts have seen.
+        self.is_silent = is_silent
         loop = asyncio.get_running_loop()
         self.outcomes: list[callers.Outcome] = []
         self.key_book = keys.KeyBook(rng=random.Random(1), clock=loop.time)
@@ -118,6 +124,11 @@
             self.world.change_configuration()
         self.world.drain_server()
         await asyncio.sleep(2.0)
+        if self.is_silent:
+            store.come_back_from(copy, is_silent=True)
+            for _ in range(MORE_CHANGES):
+                self.world.change_configuration()
+            return
         store.fault = "down"
         await asyncio.sleep(AWAY_S)
         store.come_back_from(copy)
@@ -152,13 +163,14 @@
         )
 
 
+@pytest.mark.parametrize("is_silent", [False, True])
 def test_hosts_follow_a_store_that_came_back_from_an_older_copy(
-    tmp_path: pathlib.Path,
+    tmp_path: pathlib.Path, is_silent: bool
 ) -> None:
     """Guard against hosts that stop following the store for good."""
 
     async def main() -> Drill:
-        drill = Drill(tmp_path)
+        drill = Drill(tmp_path, is_silent=is_silent)
         await drill.run()
         return drill
 
