--- a/src/samphirelug/components/fleet/consumers.py
+++ b/src/samphirelug/components/fleet/consumers.py
@@ -33,7 +33,7 @@
         self.timer = timer
 
     def begin_era(self) -> None:
-        """Do nothing, since a version in force is never followed by an older.
+        """Do nothing, as an older version never replaces the one in force.
 
         The operators write the newer version again.
         """
@@ -92,7 +92,7 @@
         self.decoder = decoder
         self.timer = timer
         # Entries of servers that had been removed before the store came back
-        # from an older copy, until their owners write them again.
+        # from an older copy, until the servers write them again.
         self.held: dict[str, store_model.StoredObject] = {}
         self.held_until_s = float("-inf")
 
--- a/src/samphirelug/components/store/view.py
+++ b/src/samphirelug/components/store/view.py
@@ -22,9 +22,9 @@
 # Time within which owners write entries again that an older copy of the store
 # lacks. Servers whose entries have expired do so within two seconds.
 ERA_GRACE_S = 2.3
-# Time for which entries that an older copy of the store shows again may belong
-# to servers or hosts that have ended. They expire after three reports of 1.5 s
-# have failed to come.
+# Time for which an older copy of the store may show servers that have ended,
+# whose entries expire once three reports have failed to come, 1.5 s each, and
+# may lack hosts, which look for their own entries every two seconds.
 ERA_HOLD_S = 6.0
 # Sets of changes that a view keeps for hosts that follow it. A host that is
 # further behind gets all objects.
