--- a/src/samphirelug/components/forwarding/forwarder.py
+++ b/src/samphirelug/components/forwarding/forwarder.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import math
+import random
 from typing import NamedTuple
 
 from returns.result import Failure
@@ -82,7 +83,7 @@
         # Age beyond which requests that need a key are refused.
         self.max_view_age_s = max_view_age_s
         self.allowance = allowance or gate.OpenGate()
-        self.split = split.WeightedSplit()
+        self.split = split.WeightedSplit(rng=random.Random())
         # Time at which this host ends, on its monotonic clock; None while it
         # is not stopping.
         self.ends_at_s: float | None = None
--- a/tests/components/routing/test_table.py
+++ b/tests/components/routing/test_table.py
@@ -1,6 +1,7 @@
 """Test route matching, configuration versions and the weighted split."""
 
 import collections
+import random
 
 from samphirelug.components.routing import model
 from samphirelug.components.routing import split
@@ -59,7 +60,7 @@
 
 def test_split_keeps_shares_in_short_sequences() -> None:
     """Guard against shares that miss the weights by more than a tenth."""
-    weighted_split = split.WeightedSplit()
+    weighted_split = split.WeightedSplit(rng=random.Random(1))
     for keys in (
         [f"object-{number % 24}" for number in range(60)],
         ["object-1"] * 60,
@@ -74,7 +75,7 @@
 
 def test_split_keeps_objects_at_one_service() -> None:
     """Guard against each object being new to the servers of both services."""
-    weighted_split = split.WeightedSplit()
+    weighted_split = split.WeightedSplit(rng=random.Random(1))
     even = build.route(destinations=(("desk", 1.0), ("ledger", 1.0)))
     counts_by_object: dict[str, collections.Counter[str]] = (
         collections.defaultdict(collections.Counter)
@@ -92,7 +93,7 @@
 
 def test_split_is_reset_when_the_weights_change() -> None:
     """Guard against deficits from former weights skewing the new shares."""
-    weighted_split = split.WeightedSplit()
+    weighted_split = split.WeightedSplit(rng=random.Random(1))
     first = build.route(destinations=(("desk", 99.0), ("ledger", 1.0)))
     for number in range(50):
         weighted_split.choose_service(first, object_key=f"object-{number}")
