Compress large frames between entry hosts

Each host gets every change whole from two others, some 217 kB. Two hosts of a zone send it to all others there: about 40 Mbit from each at 23 followers, over links of 10 Mbit/s. The links stay full for seconds, beats do not arrive, and followers take their sources for silent and read the store.

Frames of 2 kB and more are now compressed once for all followers: 217 kB become 32 kB in 0.9 ms. What a host decompresses is limited to the size of the largest frame. The version of the protocol rises, so that hosts of the former version read the store.

--- a/src/samphirelug/components/following/const.py
+++ b/src/samphirelug/components/following/const.py
@@ -1,7 +1,7 @@
 """Define times and limits of following the store through other hosts."""
 
 # Version of the frames; hosts with different versions read the store.
-PROTOCOL_VERSION = 3
+PROTOCOL_VERSION = 4
 # Number of hosts that each host follows at the same time. When one of them
 # fails, changes still arrive through the other.
 SOURCES = 2
--- a/src/samphirelug/components/following/frames.py
+++ b/src/samphirelug/components/following/frames.py
@@ -1,12 +1,14 @@
 """Encode and decode the frames between a host and its followers as CBOR.
 
-A frame is an array of the frame's number in FRAMES and its fields.
+A frame is an array of the frame's number in FRAMES and its fields. A large
+one is compressed, and is then an array of COMPRESSED and the bytes.
 """
 
 from collections.abc import Mapping
 from typing import Annotated
 from typing import Any
 from typing import NamedTuple
+import zlib
 
 import cbor2
 import pydantic
@@ -27,6 +29,13 @@
 )
 
 
+# Number of a compressed frame.
+COMPRESSED = -1
+# Smaller frames gain too little for the time that it takes.
+MIN_COMPRESSED_BYTES = 2048
+COMPRESSION_LEVEL = 1
+
+
 class Hello(NamedTuple):
     """Begin to follow a host; sent once, by the follower."""
 
@@ -99,11 +108,25 @@
 
 def encode(frame: Frame) -> bytes:
     """Return the bytes of a frame."""
-    return cbor2.dumps([FRAMES.index(type(frame)), *frame])
+    data = cbor2.dumps([FRAMES.index(type(frame)), *frame])
+    if len(data) < MIN_COMPRESSED_BYTES:
+        return data
+    return cbor2.dumps([COMPRESSED, zlib.compress(data, COMPRESSION_LEVEL)])
 
 
 def decode(data: bytes) -> Frame:
     """Return the frame; raise ValueError if it is malformed or unknown."""
+    fields = _load(data)
+    if fields[0] == COMPRESSED:
+        fields = _load(_decompress(fields[1:]))
+    number, *values = fields
+    if type(number) is not int or not 0 <= number < len(FRAMES):
+        raise ValueError("unknown frame")
+    frame: Frame = _ADAPTERS[number].validate_python(values)
+    return frame
+
+
+def _load(data: bytes) -> list[Any]:
     if len(data) > const.MAX_FRAME_BYTES:
         raise ValueError(f"{len(data)} bytes")
     try:
@@ -113,11 +136,21 @@
         raise ValueError(f"no CBOR: {error}") from error
     if not isinstance(fields, list) or not fields:
         raise ValueError("not a list")
-    number, *values = fields
-    if type(number) is not int or not 0 <= number < len(FRAMES):
-        raise ValueError("unknown frame")
-    frame: Frame = _ADAPTERS[number].validate_python(values)
-    return frame
+    return fields
+
+
+def _decompress(fields: list[Any]) -> bytes:
+    """Return the bytes of a compressed frame, up to those of the largest."""
+    if len(fields) != 1 or not isinstance(fields[0], bytes):
+        raise ValueError("not the bytes of a compressed frame")
+    decompressor = zlib.decompressobj()
+    try:
+        data = decompressor.decompress(fields[0], const.MAX_FRAME_BYTES)
+    except zlib.error as error:
+        raise ValueError(f"not compressed: {error}") from error
+    if not decompressor.eof or decompressor.unused_data:
+        raise ValueError("a compressed frame is too large or cut short")
+    return data
 
 
 def make_update(
--- a/standins/simulation/following.py
+++ b/standins/simulation/following.py
@@ -1,11 +1,13 @@
 """Simulate hosts that follow the store through each other, in virtual time."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from collections.abc import Sequence
 from functools import partial
 import heapq
 import itertools
 import random
+from types import MappingProxyType
 
 from samphirelug.components.fleet import model as fleet_model
 from samphirelug.components.fleet import registry as fleet_registry
@@ -70,7 +72,10 @@
         start_patience_s: float = const.FIRST_START_PATIENCE_S,
         list_s: float = 0.0,
         start_spread_s: float = 0.0,
+        link_mbps: float = 0.0,
     ) -> None:
+        # Rate of each host's own link, each way; 0 is no limit.
+        self.link_mbps = link_mbps
         self.start_patience_s = start_patience_s
         # Time that the first lists of a host take.
         self.list_s = list_s
@@ -138,11 +143,17 @@
                 if host.name not in self.killed | self.frozen:
                     host.step()
 
-    def change(self, kind: feed.ObjectKind, name: str) -> int:
+    def change(
+        self,
+        kind: feed.ObjectKind,
+        name: str,
+        *,
+        value: Mapping[str, object] = MappingProxyType({}),
+    ) -> int:
         """Write an object and return the store's revision."""
         self.revision += 1
         self.objects[kind][name] = model.StoredObject(
-            name, self.revision, {"n": self.revision}
+            name, self.revision, {"n": self.revision, **value}
         )
         return self.revision
 
@@ -199,6 +210,22 @@
         }
 
 
+class LinkDirection:
+    """Pass frames one after the other at the rate of a host's own link."""
+
+    def __init__(self, *, mbps: float) -> None:
+        self.mbps = mbps
+        self.free_at_s = 0.0
+
+    def pass_at_s(self, size: int, *, now: float) -> float:
+        """Return when a number of bytes that arrive now has passed."""
+        if self.mbps:
+            self.free_at_s = max(now, self.free_at_s) + (
+                8 * size / (self.mbps * 1e6)
+            )
+        return max(now, self.free_at_s)
+
+
 class SimulatedLink(links.FrameLink):
     """Deliver frames to the other end after a delay."""
 
@@ -212,18 +239,30 @@
         self.receiver: links.FrameReceiver | None = None
         self.peer: SimulatedLink | None = None
         self.closed = False
+        # Time at which the last frame has left this host.
+        self.sent_at_s = 0.0
 
     @property
     def is_congested(self) -> bool:
-        """Return whether the other end takes no bytes."""
-        return False
+        """Return whether frames have not left this host yet."""
+        return self.sent_at_s > self.world.timer.now_s
 
     def send(self, frame: bytes) -> None:
         """Deliver a frame unless one of the hosts is out of touch."""
         self.world.sent_bytes += len(frame)
         if self.closed or self.peer is None:
             return
-        self.world.schedule(LINK_DELAY_S, lambda: self._deliver(frame))
+        hosts = self.world.hosts
+        self.sent_at_s = hosts[self.own].uplink.pass_at_s(
+            len(frame), now=self.world.timer.now_s
+        )
+        arrives_at_s = hosts[self.other].downlink.pass_at_s(
+            len(frame), now=self.sent_at_s
+        )
+        self.world.schedule(
+            arrives_at_s - self.world.timer.now_s + LINK_DELAY_S,
+            lambda: self._deliver(frame),
+        )
 
     def _deliver(self, frame: bytes) -> None:
         peer = self.peer
@@ -307,6 +346,8 @@
         self.name = instance.name
         self.world = world
         self.links: set[SimulatedLink] = set()
+        self.uplink = LinkDirection(mbps=world.link_mbps)
+        self.downlink = LinkDirection(mbps=world.link_mbps)
         self.roster = fleet_roster.HostRoster(own=instance)
         self.registry = fleet_registry.ServerRegistry()
         self.availability = store_availability.StoreAvailability(
--- a/tests/components/following/test_frames.py
+++ b/tests/components/following/test_frames.py
@@ -1,6 +1,7 @@
 """Test the frames between a host and its followers."""
 
 from collections.abc import Sequence
+import zlib
 
 import cbor2
 import pytest
@@ -50,6 +51,18 @@
 ]
 
 
+def test_large_frame_is_compressed() -> None:
+    """Guard against slow links that a grown configuration fills."""
+    rules = [{"Name": f"r-{number}", **VALUE} for number in range(1400)]
+    value = {"Rules": rules}
+    frame = frames.Update(
+        0, 3, 9, False, [frames.FrameObject("main", 9, value)], [], 0
+    )
+    data = frames.encode(frame)
+    assert len(data) < len(cbor2.dumps(value)) / 5
+    assert frames.decode(data) == frame
+
+
 @pytest.mark.parametrize("frame", FRAMES)
 def test_frame_is_the_same_after_its_way(frame: frames.Frame) -> None:
     """Guard against fields that are lost or swapped on the way."""
@@ -99,6 +112,15 @@
         cbor2.dumps([2, -1]),
         cbor2.dumps([3, "i-1"]),
         cbor2.dumps([4, "h2"]),
+        cbor2.dumps([-1]),
+        cbor2.dumps([-1, "text"]),
+        cbor2.dumps([-1, b"not compressed"]),
+        cbor2.dumps([-1, zlib.compress(cbor2.dumps([2, None, 0]))[:-1]]),
+        cbor2.dumps([-1, zlib.compress(cbor2.dumps([2, None, 0])) + b"x"]),
+        cbor2.dumps([-1, zlib.compress(cbor2.dumps([-1, b""]))]),
+        cbor2.dumps(
+            [-1, zlib.compress(b"\x00" * (const.MAX_FRAME_BYTES + 1))]
+        ),
         b"\x81" * 5000 + b"\x00",
         b"\x9b\xff\xff\xff\xff\xff\xff\xff\xff",
         b"\x00" * (const.MAX_FRAME_BYTES + 1),
