Count split requests by service, and the bytes sent to followers

samphirelug_split_requests_total has at most 100 routes, the others count as 'other'. samphirelug_update_bytes is the sum of frames with views and changes. Decisions are unchanged.

--- a/src/samphirelug/components/following/sessions.py
+++ b/src/samphirelug/components/following/sessions.py
@@ -154,6 +154,8 @@
         self.grace_remaining_s = grace_remaining_s
         # Encoded updates to the present revision, by kind and first revision.
         self.encoded: dict[tuple[feed.ObjectKind, int], bytes] = {}
+        # Bytes of updates sent to all followers.
+        self.sent_bytes = 0
         for view in views.values():
             view.on_changed.append(self.encoded.clear)
 
@@ -170,4 +172,5 @@
                 )
                 data = self.encoded[kind, sent] = frames.encode(update)
             session.link.send(data)
+            self.sent_bytes += len(data)
             session.sent[kind] = view.revision
--- a/src/samphirelug/components/forwarding/request_log.py
+++ b/src/samphirelug/components/forwarding/request_log.py
@@ -204,6 +204,8 @@
             code=code,
             seconds=now - trace.request.received_at_s,
         )
+        if trace.service and trace.route and len(trace.route.destinations) > 1:
+            self.metrics.count_split(route=route, service=trace.service)
         if trace.team:
             self.metrics.count_team_request(team=trace.team, code=code)
         for record in trace.attempts[1:]:
--- a/src/samphirelug/components/metrics/forwarding.py
+++ b/src/samphirelug/components/metrics/forwarding.py
@@ -6,10 +6,11 @@
 from samphirelug.components.metrics import registry
 
 
-# Labels of one metric that name teams, and priorities. Every further one is
-# counted as OTHER, which is one of them.
+# Labels of one metric that name teams, priorities and routes with several
+# services. Every further one is counted as OTHER, which is one of them.
 MAX_TEAM_LABELS = 100
 MAX_PRIORITY_LABELS = 16
+MAX_SPLIT_ROUTE_LABELS = 100
 OTHER = "other"
 
 
@@ -40,6 +41,12 @@
             "Requests by route and result code",
             registry=self.registry,
         )
+        self.split_requests = collectors.Counter(
+            "samphirelug_split_requests_total",
+            "Requests on routes with several services by route and service",
+            registry=self.registry,
+        )
+        self.split_labels = LabelLimit(labels=MAX_SPLIT_ROUTE_LABELS)
         self.retries = collectors.Counter(
             "samphirelug_retries_total",
             "Further attempts by their outcome",
@@ -96,6 +103,11 @@
             registry=self.registry,
         )
 
+        self.update_bytes = collectors.Gauge(
+            "samphirelug_update_bytes",
+            "Bytes of views and changes sent to following entry hosts",
+            registry=self.registry,
+        )
         self.connections = collectors.Gauge(
             "samphirelug_connections",
             "Open connections of clients by listener",
@@ -128,6 +140,14 @@
         label = self.team_labels.label(team)
         self.team_requests.inc({"team": label, "code": code})
 
+    def count_split(self, *, route: str, service: str) -> None:
+        """Count a request whose service was chosen by weight.
+
+        Shares are those of all entry hosts together.
+        """
+        label = self.split_labels.label(route)
+        self.split_requests.inc({"route": label, "service": service})
+
     def count_retry(self, outcome: str) -> None:
         """Count a retry of a request."""
         self.retries.inc({"outcome": outcome})
@@ -161,6 +181,10 @@
         """Set the value of samphirelug_belief that has this name."""
         self.beliefs.set({"name": name}, value)
 
+    def set_update_bytes(self, count: int) -> None:
+        """Set the bytes that followers have been sent."""
+        self.update_bytes.set({}, count)
+
     def set_held(
         self, listener: str, *, connections: int, held_bytes: int, closed: int
     ) -> None:
--- a/src/samphirelug/forwarding_host.py
+++ b/src/samphirelug/forwarding_host.py
@@ -598,6 +598,7 @@
         self.metrics.set_belief("reads_store", self.coordinator.direct)
         self.metrics.set_belief("sources", len(self.coordinator.sources))
         self.metrics.set_belief("followers", len(self.coordinator.followers))
+        self.metrics.set_update_bytes(self.coordinator.encoder.sent_bytes)
         for name, use in self.account.use().items():
             self.metrics.set_held(
                 name,
--- a/tests/components/forwarding/test_forwarder.py
+++ b/tests/components/forwarding/test_forwarder.py
@@ -76,6 +76,11 @@
             self.configuration.apply(
                 build.configuration(
                     build.route(),
+                    build.route(
+                        name="split",
+                        path_prefix="/split/",
+                        destinations=(("desk", 1.0), ("ledger", 1.0)),
+                    ),
                     build.route(
                         name="filing",
                         path_prefix="/filing/",
@@ -87,6 +92,7 @@
                 source="test",
             )
         self.view_age_s = 0.4
+        self.metrics = forwarding_metrics.ForwardingMetrics()
         self.forwarder = forwarder.Forwarder(
             timer=self.timer,
             configuration=self.configuration,
@@ -100,9 +106,7 @@
             retries=retry_window.RetryWindow(
                 ratio=0.2, slack=slack, window_s=10.0
             ),
-            log=request_log.RequestLog(
-                metrics=forwarding_metrics.ForwardingMetrics()
-            ),
+            log=request_log.RequestLog(metrics=self.metrics),
             host_count=lambda: 1,
             view_age_s=lambda: self.view_age_s,
         )
@@ -136,6 +140,21 @@
     assert result.body == b"whole"
 
 
+def test_requests_of_a_split_route_are_counted_by_service() -> None:
+    """Guard against shares that no operator can compare with the weights."""
+    harness = ForwarderHarness(200, 200, 200)
+    harness.run(STATUS)
+    for _ in range(2):
+        harness.run(build.request(target="/split/1"))
+    lines = [
+        line.split()
+        for line in harness.metrics.render().decode().splitlines()
+        if line.startswith("samphirelug_split_requests_total{")
+    ]
+    assert all('route="split"' in labels for labels, _ in lines)
+    assert sum(float(value) for _, value in lines) == 2.0
+
+
 def test_missing_configuration_is_not_reported_as_unknown_path() -> None:
     """Guard against status 404 from a host without a configuration."""
     starting = ForwarderHarness(version=0).run(STATUS)
--- a/tests/components/metrics/test_forwarding.py
+++ b/tests/components/metrics/test_forwarding.py
@@ -19,3 +19,17 @@
     assert len(by_team) == forwarding.MAX_TEAM_LABELS
     assert len(by_priority) == forwarding.MAX_PRIORITY_LABELS
     assert any('team="other"' in line and "401" in line for line in by_team)
+
+
+def test_split_requests_have_a_bounded_number_of_routes() -> None:
+    """Guard against metrics that grow with the routes of a configuration."""
+    metrics = forwarding.ForwardingMetrics()
+    for number in range(500):
+        metrics.count_split(route=f"route-{number}", service="desk")
+    lines = [
+        line
+        for line in metrics.render().decode().splitlines()
+        if line.startswith("samphirelug_split_requests_total{")
+    ]
+    assert len(lines) == forwarding.MAX_SPLIT_ROUTE_LABELS
+    assert any('route="other"' in line and "401" in line for line in lines)
