--- a/src/samphirelug/components/routing/split.py
+++ b/src/samphirelug/components/routing/split.py
@@ -98,12 +98,14 @@
     ) -> None:
         self.destinations = destinations
         self.ranks = ranks
-        total = sum(destination.weight for destination in destinations)
+        weights: dict[str, float] = {}
         # The order of the names keeps most objects at their service when
         # weights change.
+        for service, weight in sorted(destinations):
+            weights[service] = weights.get(service, 0.0) + weight
+        total = sum(weights.values())
         self.shares = {
-            destination.service: destination.weight / total
-            for destination in sorted(destinations)
+            service: weight / total for service, weight in weights.items()
         }
         # Number of requests by which each service is below its share.
         self.deficits = dict.fromkeys(self.shares, 0.0)
--- a/tests/components/routing/test_split.py
+++ b/tests/components/routing/test_split.py
@@ -40,6 +40,19 @@
         assert abs(share - weights[0] / sum(weights)) <= TOLERANCE, seed
 
 
+def test_weights_of_a_service_that_is_named_twice_are_added() -> None:
+    """Guard against a configuration of which only the last weight counts."""
+    weighted_split = split.WeightedSplit(rng=random.Random(1))
+    route = build.route(
+        destinations=(("desk", 30.0), ("ledger", 40.0), ("desk", 30.0))
+    )
+    counts = collections.Counter(
+        weighted_split.choose_service(route, object_key=f"object-{number}")
+        for number in range(100)
+    )
+    assert abs(counts["desk"] - 60) <= 2
+
+
 def test_memory_of_removed_routes_is_limited() -> None:
     """Guard against a process that keeps all routes that there ever were."""
     weighted_split = split.WeightedSplit(rng=random.Random(1))
