Let hosts with the highest capacity pass changes on

Which hosts send changes to a whole zone was decided by hashes of their names alone.

Hosts know each other's capacity from their entries; watchers and relays are now those with the highest, and hashes decide among equals. The new test failed before.

--- a/src/samphirelug/components/following/plan.py
+++ b/src/samphirelug/components/following/plan.py
@@ -52,13 +52,9 @@
             for name in watchers_by_region[region]
         ),
     ]
-    in_zone = rendezvous.rank_names(
-        key=f"relay/{own.zone.name}",
-        names=[
-            host.name
-            for host in hosts.values()
-            if host.zone.name == own.zone.name
-        ],
+    in_zone = _rank(
+        f"relay/{own.zone.name}",
+        [host for host in hosts.values() if host.zone.name == own.zone.name],
     )
     is_watcher = own.name in watchers_by_region[own_region]
     preferred = [*watchers, *in_zone]
@@ -76,10 +72,18 @@
 ) -> list[str]:
     """Return the watchers of a region, in different zones if possible."""
     zones = {host.name: host.zone.name for host in hosts}
-    ranked = rendezvous.rank_names(key=f"watch/{region}", names=zones)
+    ranked = _rank(f"watch/{region}", hosts)
     first, *rest = ranked
     if len(ranked) < const.TWO_WATCHERS_FROM_HOSTS and not is_only:
         return [first]
     # Stable: the ranks decide among hosts of other zones.
     rest.sort(key=lambda name: zones[name] == zones[first])
     return [first, *rest[:1]]
+
+
+def _rank(key: str, hosts: list[model.HostInstance]) -> list[str]:
+    """Return the names of hosts, those with the highest capacity first."""
+    capacities = {host.name: host.capacity_per_s for host in hosts}
+    names = rendezvous.rank_names(key=key, names=capacities)
+    # Stable: the ranks decide among hosts of the same capacity.
+    return sorted(names, key=lambda name: capacities[name], reverse=True)
--- a/tests/components/following/test_coordinator.py
+++ b/tests/components/following/test_coordinator.py
@@ -289,6 +289,28 @@
         )
 
 
+def test_hosts_with_narrow_links_pass_changes_on_to_no_zone() -> None:
+    """Guard against a change that fills the link of a weak host."""
+    hosts = [
+        fleet_model.HostInstance(
+            f"h{number}",
+            "i1",
+            core.AvailabilityZone(f"z{number % 3}", "r"),
+            "127.0.0.1:1",
+            "127.0.0.1:2",
+            capacity_per_s=500.0 if number < 6 else 100.0,
+        )
+        for number in range(60)
+    ]
+    for host in hosts:
+        made = plan.make_plan(host, hosts)
+        assert not made.is_watcher or host.capacity_per_s == 500.0
+        assert all(
+            source.capacity_per_s == 500.0
+            for source in made.candidates[: const.SOURCES]
+        )
+
+
 def test_two_hosts_read_the_store_in_a_fleet_of_one_region() -> None:
     """Guard against a single host on which all others depend."""
     world = following.World(zones={"a1": "a", "a2": "a"}, hosts_per_zone=4)
