Limit what the frames of a follower decompress to

Since frames may be compressed, a follower could send 16 kB that a host decompresses to 8 MB; found by reading the change again. Its frames are now limited to 16 kB before and after it, as they were before. The links of sources keep their limit of 8 MB.

--- a/src/samphirelug/components/following/frames.py
+++ b/src/samphirelug/components/following/frames.py
@@ -27,8 +27,6 @@
     feed.ObjectKind.EVACUATIONS,
     feed.ObjectKind.ENTRY_HOSTS,
 )
-
-
 # Number of a compressed frame.
 COMPRESSED = -1
 # Smaller frames gain too little for the time that it takes.
@@ -114,11 +112,15 @@
     return cbor2.dumps([COMPRESSED, zlib.compress(data, COMPRESSION_LEVEL)])
 
 
-def decode(data: bytes) -> Frame:
-    """Return the frame; raise ValueError if it is malformed or unknown."""
-    fields = _load(data)
+def decode(data: bytes, *, max_bytes: int = const.MAX_FRAME_BYTES) -> Frame:
+    """Return the frame; raise ValueError if it is malformed or unknown.
+
+    The limit holds for the frame before and after decompression.
+    """
+    fields = _load(data, max_bytes=max_bytes)
     if fields[0] == COMPRESSED:
-        fields = _load(_decompress(fields[1:]))
+        data = _decompress(fields[1:], max_bytes=max_bytes)
+        fields = _load(data, max_bytes=max_bytes)
     number, *values = fields
     if type(number) is not int or not 0 <= number < len(FRAMES):
         raise ValueError("unknown frame")
@@ -126,8 +128,8 @@
     return frame
 
 
-def _load(data: bytes) -> list[Any]:
-    if len(data) > const.MAX_FRAME_BYTES:
+def _load(data: bytes, *, max_bytes: int) -> list[Any]:
+    if len(data) > max_bytes:
         raise ValueError(f"{len(data)} bytes")
     try:
         fields = cbor2.loads(data)
@@ -139,13 +141,13 @@
     return fields
 
 
-def _decompress(fields: list[Any]) -> bytes:
-    """Return the bytes of a compressed frame, up to those of the largest."""
+def _decompress(fields: list[Any], *, max_bytes: int) -> bytes:
+    """Return the bytes of a compressed frame."""
     if len(fields) != 1 or not isinstance(fields[0], bytes):
         raise ValueError("not the bytes of a compressed frame")
     decompressor = zlib.decompressobj()
     try:
-        data = decompressor.decompress(fields[0], const.MAX_FRAME_BYTES)
+        data = decompressor.decompress(fields[0], max_bytes)
     except zlib.error as error:
         raise ValueError(f"not compressed: {error}") from error
     if not decompressor.eof or decompressor.unused_data:
--- a/src/samphirelug/components/following/sessions.py
+++ b/src/samphirelug/components/following/sessions.py
@@ -113,7 +113,9 @@
         if self.closed:
             return
         try:
-            frame = frames.decode(data)
+            frame = frames.decode(
+                data, max_bytes=const.MAX_FOLLOWER_FRAME_BYTES
+            )
             if isinstance(frame, frames.Hello):
                 self._begin(frame)
         except ValueError as error:
--- a/tests/components/following/test_coordinator.py
+++ b/tests/components/following/test_coordinator.py
@@ -395,6 +395,21 @@
         self.closed = True
 
 
+def test_follower_can_not_send_large_compressed_frames() -> None:
+    """Guard against small frames that take much memory once decompressed."""
+    host = make_world(hosts_per_zone=1).hosts["a1-0"]
+    link = StuckLink(is_congested=False)
+    session = host.coordinator.accept(link)
+    assert session is not None
+    names = ["x" * 1000] * (const.MAX_FOLLOWER_FRAME_BYTES // 500)
+    data = frames.encode(frames.HostsAbsent(names))
+    assert len(data) < const.MAX_FOLLOWER_FRAME_BYTES
+    with pytest.raises(ValueError, match="too large"):
+        frames.decode(data, max_bytes=const.MAX_FOLLOWER_FRAME_BYTES)
+    session.handle_frame(data)
+    assert link.closed
+
+
 def test_followers_that_do_nothing_are_disconnected() -> None:
     """Guard against memory and sockets held by stuck followers."""
     world = make_world()
