--- a/tests/components/following/test_coordinator.py
+++ b/tests/components/following/test_coordinator.py
@@ -395,7 +395,7 @@
         self.closed = True
 
 
-def test_follower_can_not_send_large_compressed_frames() -> None:
+def test_follower_cannot_send_large_compressed_frames() -> None:
     """Guard against small frames that take much memory once decompressed."""
     host = make_world(hosts_per_zone=1).hosts["a1-0"]
     link = StuckLink(is_congested=False)
