Count a process's own memory in review cases 11 and 12

Cases 11 and 12, rule Fault: the stand-in of the platform counted pages of files too; now it counts the process's own memory.

--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -502,13 +502,18 @@
         log.close()
 
     def resident_mb(self):
-        """Return the resident memory of the process; 0 if it has ended."""
+        """Return the process's own memory in MiB; 0 if it has ended.
+
+        Pages of files, such as libraries, are left out.
+        """
         try:
-            text = pathlib.Path(f"/proc/{self.process.pid}/statm").read_text()
+            text = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
         except OSError:
             return 0.0
-        pages = int(text.split()[1])
-        return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+        for line in text.splitlines():
+            if line.startswith("RssAnon:"):
+                return int(line.split()[1]) / 1024
+        return 0.0
 
     async def is_ready(self):
         """Return whether the platform's check is answered with 200."""
