Hold back reports of earlier starts of a server until their entries stand

Cause: the registry ordered reports by their numbers within one start, but followed the order of the store between two starts. The store may carry out a write without an answer seconds later, so that the last report of the earlier start replaced the present one, with its cold start, load and leaving.

Change: an entry of another start that names an earlier time, or that this host knows to be superseded or removed, is held back. The time alone proves nothing, as the server's clock may have gone back: the start is put in force once the store has shown its entry for 6 s while the view was current, since an entry that nobody refreshes expires before that. Until then a start that this host has never used counts with its cold start and its leaving, beside the known one. This works as a running server replaces an entry of another start within 1.5 s.

--- a/src/samphirelug/components/fleet/consumers.py
+++ b/src/samphirelug/components/fleet/consumers.py
@@ -1,5 +1,6 @@
 """Apply stored objects to the state of this process."""
 
+from collections.abc import Callable
 from collections.abc import Sequence
 import logging
 
@@ -14,6 +15,8 @@
 from samphirelug.helpers import timer as timer_helper
 
 _LOGGER = logging.getLogger(__name__)
+# Interval at which entries of servers that are held back are checked.
+CONFIRM_INTERVAL_S = 0.5
 # Reported as the origin of changes in log records.
 SOURCE = "store"
 
@@ -87,10 +90,15 @@
         registry: fleet_registry.ServerRegistry,
         decoder: fleet_decoder.ObjectDecoder,
         timer: timer_helper.TimerService,
+        is_current: Callable[[], bool],
     ) -> None:
         self.registry = registry
         self.decoder = decoder
         self.timer = timer
+        # Whether the view shows the present state of the store.
+        self.is_current = is_current
+        # Whether entries that are held back are being checked.
+        self.is_confirming = False
         # Entries of servers that had been removed before the store came back
         # from an older copy, until the servers write them again.
         self.held: dict[str, store_model.StoredObject] = {}
@@ -128,6 +136,7 @@
             source=SOURCE,
         )
         self._schedule_expiry(grace_s)
+        self._schedule_confirmation()
 
     def upsert(self, stored: store_model.StoredObject) -> None:
         """Put the decoded server; remove it if its object is malformed."""
@@ -135,6 +144,7 @@
         server = self._decode(stored)
         if server is not None:
             self.registry.put(server, source=SOURCE)
+            self._schedule_confirmation()
             return
         self.remove(stored.key, grace_s=0.0)
 
@@ -156,6 +166,23 @@
         for stored in list(self.held.values()):
             self.upsert(stored)
 
+    def _schedule_confirmation(self) -> None:
+        """Schedule the next check of entries that are held back, if any."""
+        if self.is_confirming or not self.registry.unconfirmed.by_id:
+            return
+        self.is_confirming = True
+        self.timer.call_at(
+            when_s=self.timer.monotonic() + CONFIRM_INTERVAL_S,
+            callback=self._confirm_standing,
+        )
+
+    def _confirm_standing(self) -> None:
+        self.is_confirming = False
+        self.registry.confirm_standing(
+            elapsed_s=CONFIRM_INTERVAL_S, is_current=self.is_current()
+        )
+        self._schedule_confirmation()
+
     def _schedule_expiry(self, grace_s: float) -> None:
         """Schedule the removal of servers missing after the grace period."""
         if not grace_s:
--- a/src/samphirelug/components/fleet/registry.py
+++ b/src/samphirelug/components/fleet/registry.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from samphirelug.components.fleet import model
+from samphirelug.components.fleet import unconfirmed_starts
 
 _LOGGER = logging.getLogger(__name__)
 # Number of incarnations that are remembered as leaving or removed. A fleet
@@ -38,8 +39,10 @@
         # its entry went, oldest first. The store may carry out an earlier
         # report after that.
         self.last_reports: dict[model.Incarnation, int] = {}
-        # Incarnations whose entries were removed, oldest first.
+        # Incarnations whose entries were removed or superseded, oldest first.
         self.removed: dict[model.Incarnation, None] = {}
+        # Entries that are not in force, since their starts may have ended.
+        self.unconfirmed = unconfirmed_starts.UnconfirmedStarts()
         # Incremented whenever the usable servers may have changed.
         self.generation = 0
         self.usable_by_service: dict[str, list[model.ServerInstance]] = {}
@@ -95,8 +98,14 @@
             listener(incarnation)
 
     def put(self, server: model.ServerInstance, *, source: str) -> None:
-        """Add or replace a server, unless its report is an outdated one."""
+        """Add or replace a server, unless its report is an outdated one.
+
+        One of a start that may have ended is held back.
+        """
         previous = self.servers.get(server.instance_id)
+        unconfirmed = self.unconfirmed.get(server.instance_id)
+        if unconfirmed and unconfirmed.incarnation != server.incarnation:
+            self._discard_unconfirmed(server.instance_id)
         # An outdated report, too, shows that the entry exists.
         self.missing_until_s.pop(server.instance_id, None)
         last_report = self._last_report(server, previous)
@@ -113,6 +122,29 @@
                 },
             )
             return
+        if previous is not None and self._may_have_ended(server, previous):
+            self._hold_back(server, previous, source)
+            return
+        self._apply(server, previous, source)
+
+    def confirm_standing(self, *, elapsed_s: float, is_current: bool) -> None:
+        """Put the entries of unconfirmed starts that have stood for long.
+
+        elapsed_s are the seconds since the last call or the first entry that
+        was held back, and is_current whether the store's state was known.
+        """
+        for server in self.unconfirmed.advance(
+            elapsed_s=elapsed_s, is_current=is_current
+        ):
+            previous = self.servers.get(server.instance_id)
+            self._apply(server, previous, "entry stands")
+
+    def _apply(
+        self,
+        server: model.ServerInstance,
+        previous: model.ServerInstance | None,
+        source: str,
+    ) -> None:
         self.servers[server.instance_id] = server
         if previous is not None and previous == server._replace(
             report_number=previous.report_number
@@ -156,6 +188,7 @@
         server = self.servers.get(instance_id)
         if server is None:
             return
+        self._discard_unconfirmed(instance_id)
         if grace_s and not server.draining:
             self.missing_until_s.setdefault(instance_id, now + grace_s)
             return
@@ -237,6 +270,61 @@
             },
         )
 
+    def _may_have_ended(
+        self, server: model.ServerInstance, known: model.ServerInstance
+    ) -> bool:
+        """Return whether a start may have ended before the known one began.
+
+        A clock may have gone back between two starts, so that the order of
+        their times alone proves nothing. Without a time, there is no order.
+        """
+        return (
+            server.incarnation != known.incarnation
+            and server.started_unix_ms > 0
+            and known.started_unix_ms > 0
+            and (
+                server.started_unix_ms < known.started_unix_ms
+                or server.incarnation in self.removed
+            )
+        )
+
+    def _hold_back(
+        self,
+        server: model.ServerInstance,
+        known: model.ServerInstance,
+        source: str,
+    ) -> None:
+        """Keep the known start in use, as carefully as both starts need."""
+        is_new = self.unconfirmed.hold(server)
+        if server.incarnation not in self.removed:
+            if server.cold_until_s > known.cold_until_s:
+                self.servers[server.instance_id] = known._replace(
+                    cold_until_s=server.cold_until_s
+                )
+            self._rebuild_usable()
+        if is_new:
+            _LOGGER.info(
+                "held back a report of an earlier start of a backend server",
+                extra={
+                    "server": server.instance_id,
+                    "started_unix_ms": server.started_unix_ms,
+                    "known_started_unix_ms": known.started_unix_ms,
+                    "seen_before": server.incarnation in self.removed,
+                    "draining": server.draining,
+                    "cold_until_s": round(server.cold_until_s, 3),
+                    "report_number": server.report_number,
+                    "source": source,
+                },
+            )
+
+    def _discard_unconfirmed(self, instance_id: str) -> None:
+        unconfirmed = self.unconfirmed.get(instance_id)
+        if unconfirmed is None:
+            return
+        self.unconfirmed.discard(instance_id)
+        if unconfirmed.draining:
+            self._rebuild_usable()
+
     def _last_report(
         self,
         server: model.ServerInstance,
@@ -269,6 +357,16 @@
             not server.draining
             and server.zone.name not in self.evacuated_zones
             and server.incarnation not in self.leaving
+            and not self._may_be_draining_start(server.instance_id)
+        )
+
+    def _may_be_draining_start(self, instance_id: str) -> bool:
+        """Return whether a start that was never in use may run and drain."""
+        unconfirmed = self.unconfirmed.get(instance_id)
+        return (
+            unconfirmed is not None
+            and unconfirmed.draining
+            and unconfirmed.incarnation not in self.removed
         )
 
     def _rebuild_usable(self) -> None:
--- a/src/samphirelug/components/following/coordinator.py
+++ b/src/samphirelug/components/following/coordinator.py
@@ -108,6 +108,10 @@
             now - self.availability.confirmed_at_s, self._sources_age_s(now)
         )
 
+    def is_current(self, now: float) -> bool:
+        """Return whether the views are not too old to rely on."""
+        return self.age_s(now) <= self.stale_after_s
+
     def _sources_age_s(self, now: float) -> float:
         if not self.is_complete:
             return sessions.NEVER
--- a/src/samphirelug/forwarding_host.py
+++ b/src/samphirelug/forwarding_host.py
@@ -573,7 +573,12 @@
                 )
             ),
             store_feed.ObjectKind.BACKEND_SERVERS: consumers.ServerConsumer(
-                registry=self.registry, decoder=decoder, timer=self.timer
+                registry=self.registry,
+                decoder=decoder,
+                timer=self.timer,
+                is_current=lambda: self.coordinator.is_current(
+                    self.timer.monotonic()
+                ),
             ),
             store_feed.ObjectKind.EVACUATIONS: consumers.EvacuationConsumer(
                 registry=self.registry, timer=self.timer
--- a/tests/components/fleet/test_older_copy.py
+++ b/tests/components/fleet/test_older_copy.py
@@ -55,6 +55,8 @@
 
     def __init__(self) -> None:
         self.timer = timer_helper.ManualTimerService()
+        # Whether the store is known to show nothing newer.
+        self.is_current = True
         self.registry = fleet_registry.ServerRegistry()
         self.roster = fleet_roster.HostRoster(
             own=test_enrolment.make_host("h0")
@@ -62,7 +64,10 @@
         self.servers = store_view.ObjectView(
             kind=feed.ObjectKind.BACKEND_SERVERS,
             consumer=consumers.ServerConsumer(
-                registry=self.registry, decoder=Decoder(), timer=self.timer
+                registry=self.registry,
+                decoder=Decoder(),
+                timer=self.timer,
+                is_current=lambda: self.is_current,
             ),
         )
         self.evacuations = store_view.ObjectView(
--- a/tests/components/placement/test_cold_start.py
+++ b/tests/components/placement/test_cold_start.py
@@ -46,7 +46,9 @@
             is_isolated=lambda: number in self.isolated,
         )
 
-    def put_server(self, *, cold_for_s: float = 0.0) -> None:
+    def put_server(
+        self, *, cold_for_s: float = 0.0, started_unix_ms: int = 1
+    ) -> None:
         """Tell the hosts about the server and the rest of its cold start."""
         server = build.server(
             "s0",
@@ -54,6 +56,7 @@
             region="b",
             slots=6,
             cold_until_s=self.now + cold_for_s if cold_for_s else 0.0,
+            started_unix_ms=started_unix_ms,
         )
         for registry in self.informed_registries():
             registry.put(server, source="test")
@@ -211,3 +214,24 @@
     assert (
         fleet.max_in_a_second(since_s=cold_from_s) <= MAX_REQUESTS_IN_A_SECOND
     )
+
+
+def test_late_report_of_an_earlier_start_does_not_end_a_cold_start(
+    fleet: ColdFleet,
+) -> None:
+    """Guard against full load on a server that has just started again.
+
+    The store may carry out the last report before its crash late.
+    """
+    fleet.put_server(cold_for_s=3.0, started_unix_ms=2)
+    cold_from_s = fleet.now
+    fleet.run(0.3)
+    fleet.put_server(started_unix_ms=1)
+    fleet.run(1.2)
+    fleet.put_server(cold_for_s=1.5, started_unix_ms=2)
+    fleet.run(1.5)
+    assert (
+        0
+        < fleet.max_in_a_second(since_s=cold_from_s)
+        <= MAX_REQUESTS_IN_A_SECOND
+    )
--- a/tests/components/store/test_view.py
+++ b/tests/components/store/test_view.py
@@ -241,6 +241,7 @@
             registry=registry,
             decoder=Decoder(),
             timer=timer_helper.ManualTimerService(),
+            is_current=lambda: True,
         ),
     )
     view.replace_all(
--- a/tests/platform_adapter/test_store.py
+++ b/tests/platform_adapter/test_store.py
@@ -147,6 +147,7 @@
         registry=registry,
         decoder=objects.PlatformDecoder(zones={"a1": "a"}),
         timer=timer_helper.ManualTimerService(),
+        is_current=lambda: True,
     )
     return store_view.ObjectView(kind=SERVERS, consumer=consumer), registry
 
