End a response whose head goes on with that of another one

Cause: the server began to send an earlier answer once more and broke it off in its first field. The HTTP parser takes the status line of the next answer for the rest of that field, so that the status of the copy is joined with the ID, seal and body of the failure.

Change: a status line within the value of a field or a reason phrase ends the parsing; the attempt is INCOMPLETE. Where two heads join, the second status line stands in one of these places or the parser fails by itself.

--- a/src/samphirelug/components/http/response_parser.py
+++ b/src/samphirelug/components/http/response_parser.py
@@ -1,6 +1,7 @@
 """Parse the responses of a server's connection."""
 
 import collections
+import re
 
 import httptools
 
@@ -11,6 +12,9 @@
 
 # Responses with a lower status are interim; the final response follows.
 FIRST_FINAL_STATUS = 200
+# A status line within a field or a reason phrase begins another response: the
+# one before it was broken off in its head.
+_STATUS_LINE = re.compile(r"HTTP/\d\.\d \d{3}(?: |$)")
 
 
 class AnswerTooLargeError(Exception):
@@ -149,6 +153,9 @@
         if self.current is None:
             return
         text = value.decode("latin-1").rstrip(http_fields.BLANKS)
+        if _STATUS_LINE.search(text):
+            self._break_off()
+            return
         field = (name.decode("latin-1"), text)
         self.current.headers.append(field)
         self.current.field_bytes += body_buffer.field_size(field)
@@ -163,10 +170,18 @@
             self.error = f"status {self.current.status} is not valid"
             self.current = None
             return
+        if _STATUS_LINE.search(self.current.reason):
+            self._break_off()
+            return
         if self.is_head and self.current.status >= FIRST_FINAL_STATUS:
             self.completed.append(self.current)
             self.current = None
 
+    def _break_off(self) -> None:
+        """Discard a response whose head goes on with that of another one."""
+        self.error = "another response begins within a head"
+        self.current = None
+
     def on_body(self, body: bytes) -> None:
         """Add a part of the body, within the limit."""
         if self.current is None:
--- a/tests/components/http/test_misbehaving_servers.py
+++ b/tests/components/http/test_misbehaving_servers.py
@@ -196,6 +196,23 @@
     assert server.connections == 2
 
 
+@pytest.mark.parametrize(
+    "broken_off", [b"HTTP/1.1 200 O", b"HTTP/1.1 200 OK\r\nX-Seal: s"]
+)
+def test_copy_broken_off_in_its_head_hides_no_failure(
+    broken_off: bytes,
+) -> None:
+    """Guard against a caller that gets 200 for a request that has failed."""
+    failure = pool.answer("r2").replace(b"200 OK", b"500 Error", 1)
+    results, server = run_attempts(
+        answers(pool.answer("r1"), broken_off + failure),
+        {},
+        {"request_id": "r2"},
+    )
+    assert pool.failure_kind(results[1]) is Kind.INCOMPLETE
+    assert server.connections == 1
+
+
 @pytest.mark.parametrize("reused", [False, True])
 def test_change_of_protocol_is_no_answer(reused: bool) -> None:
     """Guard against an unexpected error for an upgrade nobody asked for."""
--- a/tests/components/http/test_response_parser.py
+++ b/tests/components/http/test_response_parser.py
@@ -74,3 +74,32 @@
     parser = parse(WITH_LENGTH[:-1])
     assert not parser.feed_eof()
     assert not parser.completed
+
+
+FAILURE = WITH_LENGTH.replace(b"200 OK", b"500 Error")
+HEAD = CHUNKED[: CHUNKED.index(b"\r\n\r\n") + 4]
+
+
+@pytest.mark.parametrize("length", range(1, len(HEAD)))
+def test_response_broken_off_in_its_head_lends_no_status_to_the_next(
+    length: int,
+) -> None:
+    """Guard against a failure that is passed on as a success."""
+    parser = parse(WITH_LENGTH + HEAD[:length] + FAILURE)
+    assert bodies(parser) == [b"ok"]
+    assert parser.error
+    assert not parser.is_at_boundary
+
+
+def test_response_broken_off_in_its_trailers_is_not_complete() -> None:
+    """Guard against trailers that hide the answer behind them."""
+    trailers = CHUNKED[:-2] + b"X-Checksum: 1"
+    parser = parse(trailers + FAILURE)
+    assert not parser.completed
+    assert parser.error
+
+
+def test_field_that_names_a_protocol_is_no_status_line() -> None:
+    """Guard against answers that are refused because of their path."""
+    fields = b"Via: HTTP/1.1 proxy1, 1.1 200\r\nX-Id: a"
+    assert parse(WITH_LENGTH.replace(b"X-Id: a", fields)).completed
