Bound the cache of server orders in bytes, not in entries

Cause: the cache kept up to 20,000 orders with the keys that callers had chosen, whatever their length.

Change: a hash of 128 bits stands for the key, and the cache is cleared once its orders take 16 MiB.

--- a/src/samphirelug/components/placement/const.py
+++ b/src/samphirelug/components/placement/const.py
@@ -25,8 +25,11 @@
 MAX_PAUSE_S = 4.0
 # Consecutive failures after which a reachable server is paused.
 FAILURES_BEFORE_PAUSE = 3
-# Number of cached server orders at which the cache is cleared.
-MAX_CACHED_ORDERS = 20_000
+# Memory of cached server orders at which the cache is cleared: a twelfth of
+# that of the smallest hosts.
+MAX_CACHED_ORDER_BYTES = 16 * 1024 * 1024
+# Memory of a cached order's key and of its place in the cache.
+CACHED_KEY_BYTES = 256
 # Bounds of the Retry-After time of refused callers. A slot that was refused
 # stays busy for at least the minimum. Callers wait for at most a third of
 # their deadline, and the maximum fits into that.
--- a/src/samphirelug/components/placement/ranking.py
+++ b/src/samphirelug/components/placement/ranking.py
@@ -6,13 +6,18 @@
 """
 
 from collections.abc import Iterable
+import sys
+
+import xxhash
 
 from samphirelug.components.fleet import model
 from samphirelug.components.fleet import registry as fleet_registry
 from samphirelug.components.placement import const
 from samphirelug.helpers import rendezvous
 
-CacheKey = tuple[str, str, frozenset[str]]
+# Service, hash of the object's key, and regions. Callers choose the key, which
+# may be as long as a header field.
+CacheKey = tuple[str, bytes, frozenset[str]]
 
 
 def order_servers(
@@ -51,6 +56,8 @@
         self.registry = registry
         self.generation = -1
         self.cache: dict[CacheKey, tuple[model.ServerInstance, ...]] = {}
+        # Memory that the cached orders and their keys take.
+        self.cached_bytes = 0
 
     def order(
         self, *, object_key: str, service: str, regions: frozenset[str]
@@ -58,11 +65,13 @@
         """Return the usable servers in the regions; no regions means all."""
         if (
             self.generation != self.registry.generation
-            or len(self.cache) >= const.MAX_CACHED_ORDERS
+            or self.cached_bytes >= const.MAX_CACHED_ORDER_BYTES
         ):
             self.cache.clear()
+            self.cached_bytes = 0
             self.generation = self.registry.generation
-        cache_key = (service, object_key, regions)
+        key_hash = xxhash.xxh3_128_digest(object_key.encode())
+        cache_key = (service, key_hash, regions)
         ordered_servers = self.cache.get(cache_key)
         if ordered_servers is None:
             ordered_servers = order_servers(
@@ -74,4 +83,7 @@
                 ],
             )
             self.cache[cache_key] = ordered_servers
+            self.cached_bytes += const.CACHED_KEY_BYTES + sys.getsizeof(
+                ordered_servers
+            )
         return ordered_servers
--- a/tests/components/placement/test_ranking.py
+++ b/tests/components/placement/test_ranking.py
@@ -1,9 +1,13 @@
 """Test the order of servers for objects."""
 
 import collections
+import tracemalloc
+
+import pytest
 
 from samphirelug.components.fleet import model as fleet_model
 from samphirelug.components.fleet import registry as fleet_registry
+from samphirelug.components.placement import const
 from samphirelug.components.placement import ranking
 from standins import forwarding as build
 
@@ -92,3 +96,32 @@
     first = ordered_names()[0]
     registry.remove(first, now=0.0, grace_s=0.0, source="test")
     assert first not in ordered_names()
+
+
+@pytest.mark.parametrize(
+    ("keys", "key_length", "servers"),
+    [
+        pytest.param(2_000, 15_800, 2, id="long-keys"),
+        pytest.param(12_000, 20, 250, id="many-servers"),
+    ],
+)
+def test_memory_of_cached_orders_is_bounded(
+    keys: int, key_length: int, servers: int
+) -> None:
+    """Guard against a host that callers fill by the keys of objects."""
+    registry = fleet_registry.ServerRegistry()
+    for number in range(servers):
+        registry.put(build.server(f"s{number}"), source="test")
+    server_ranking = ranking.ServerRanking(registry=registry)
+    tracemalloc.start()
+    try:
+        for number in range(keys):
+            server_ranking.order(
+                object_key=str(number).zfill(key_length),
+                service="desk",
+                regions=frozenset(),
+            )
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak_bytes < 1.5 * const.MAX_CACHED_ORDER_BYTES
