Read whole numbers in fields without unexpected errors

Cause: isdigit() accepts characters that int() does not, int() fails with thousands of digits, and its division by 1000 beyond 308.

Change: one function reads whole numbers of fields; larger ones than 10^15 count as this. A malformed deadline is answered 400 as any other.

--- a/src/samphirelug/components/backend/io_client.py
+++ b/src/samphirelug/components/backend/io_client.py
@@ -364,11 +364,12 @@
 
 def _length_exceeds(length: str, limit: int) -> bool:
     # HTTP1Connection rejects a malformed length.
-    return length.isdigit() and int(length) > limit
+    return (http_fields.parse_whole(length) or 0) > limit
 
 
 def _parse_seconds(value: str) -> float:
-    return float(value) if value.isdigit() and len(value) < 6 else 0.0
+    seconds = http_fields.parse_whole(value)
+    return 0.0 if seconds is None or seconds >= 100_000 else float(seconds)
 
 
 def _suppress_write_error(written: "asyncio.Future[None]") -> None:
--- a/src/samphirelug/components/http/handler.py
+++ b/src/samphirelug/components/http/handler.py
@@ -94,12 +94,13 @@
             return None
         if not request_id or not hostname:
             return None
-        deadline_ms = message.get(self.names.deadline_ms)
         deadline_at_s = None
-        if deadline_ms is not None:
-            if not deadline_ms.isdigit():
+        deadline = message.get(self.names.deadline_ms)
+        if deadline is not None:
+            deadline_ms = http_fields.parse_whole(deadline)
+            if deadline_ms is None:
                 return None
-            deadline_at_s = message.received_at_s + int(deadline_ms) / 1000
+            deadline_at_s = message.received_at_s + deadline_ms / 1000
         return forwarding_model.ReceivedRequest(
             request_id=request_id,
             method=message.method,
--- a/src/samphirelug/components/http/io_pool.py
+++ b/src/samphirelug/components/http/io_pool.py
@@ -29,7 +29,7 @@
 from samphirelug.helpers import timer as timer_helper
 
 _LOGGER = logging.getLogger(__name__)
-_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)", re.IGNORECASE)
+_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d{1,9})", re.IGNORECASE)
 BODY_METHODS = frozenset(("POST", "PUT", "PATCH"))
 
 
@@ -387,8 +387,10 @@
             body=response.body,
             server=attempt.server.instance_id,
         )
-        cold_ms = response.get(self.names.cold_ms)
-        cold_s = int(cold_ms) / 1000 if cold_ms and cold_ms.isdigit() else None
+        cold_ms = http_fields.parse_whole(
+            response.get(self.names.cold_ms) or ""
+        )
+        cold_s = None if cold_ms is None else cold_ms / 1000
         return Success(
             model.AttemptAnswer(answer, report, cold_s, retry_after_s)
         )
--- a/src/samphirelug/helpers/http_fields.py
+++ b/src/samphirelug/helpers/http_fields.py
@@ -18,6 +18,8 @@
 )
 # Optional white space around a value, which the HTTP parser leaves behind it.
 BLANKS = " \t"
+# The largest whole number that fields are read as.
+MAX_WHOLE = 10**15
 # A client must not interpret others (RFC 9110, section 15).
 VALID_STATUSES = range(100, 600)
 
@@ -64,3 +66,16 @@
     if not text.replace(".", "", 1).isdecimal() or not text.isascii():
         return None
     return float(text)
+
+
+def parse_whole(text: str) -> int | None:
+    """Return a whole number that is not negative, None if it is none.
+
+    A larger one than MAX_WHOLE is read as this.
+    """
+    # isdigit() also accepts characters that int() does not, such as "²", and
+    # int() fails with thousands of digits.
+    if not (text.isascii() and text.isdecimal()):
+        return None
+    digits = text.lstrip("0") or "0"
+    return MAX_WHOLE if len(digits) > 15 else int(digits)
--- a/tests/components/http/test_credentials.py
+++ b/tests/components/http/test_credentials.py
@@ -267,6 +267,19 @@
     assert not host.heads
 
 
+@pytest.mark.parametrize(
+    ("deadline", "status"),
+    [("\xb2", 400), ("-1", 400), ("1_0", 400), ("9" * 400, 200)],
+)
+def test_odd_deadline_gets_an_answer(deadline: str, status: int) -> None:
+    """Guard against connections that are closed without an answer."""
+    host = Host()
+    head = REQUEST.format(path="/page/1")
+    fields = f"X-Deadline-Ms: {deadline}\r\nConnection: close\r\n"
+    received = host.exchange_raw(f"{head}{fields}\r\n".encode("latin-1"))
+    assert received.startswith(f"HTTP/1.1 {status} ")
+
+
 def test_trailer_fields_are_no_header_fields() -> None:
     """Guard against a key or a host name that comes behind the body."""
     host = Host()
--- a/tests/components/http/test_io_pool.py
+++ b/tests/components/http/test_io_pool.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import contextlib
 
+import pytest
 from returns.result import Failure
 
 from samphirelug.components.backend import model as backend_model
@@ -290,6 +291,26 @@
         run(scripted(data, close=close), scenario)
 
 
+@pytest.mark.parametrize("number", ["\xb2", "9" * 5000, "-1", "1e3", "1_0"])
+@pytest.mark.parametrize("field", ["X-Cold-Ms: ", "Keep-Alive: timeout="])
+def test_odd_number_of_a_server_costs_no_answer(
+    field: str, number: str
+) -> None:
+    """Guard against answers that are lost for a field nobody needs."""
+
+    async def scenario(
+        sender: io_pool.PooledSender,
+        attempt: Callable[..., model.Attempt],
+        server: ScriptedServer,
+    ) -> None:
+        del server
+        assert failure_kind(await sender.send(attempt())) is None
+
+    data = answer().replace(b"Keep-Alive: timeout=10\r\n", b"")
+    odd = f"{field}{number}\r\n".encode("latin-1")
+    run(scripted(data.replace(b"X-Seal", odd + b"X-Seal")), scenario)
+
+
 def test_body_without_a_length_ends_with_the_connection() -> None:
     """Guard against losing the answers of servers that send no length."""
     data = answer().replace(b"Content-Length: 2\r\n", b"")
